--- /dev/null
+++ b/src/kernel/messages/index.ts
@@ -0,0 +1,2 @@
+export * from './Address.js';
+export * from './Mailbox.js';
--- /dev/null
+++ b/src/kernel/services/Kernel.ts
@@ -0,0 +1,83 @@
+import type * as messages from '../messages/index.js';
+import type * as time from '../time/index.js';
+import type * as directories from './ServiceDirectory.js';
+import type * as names from './ServiceName.js';
+import * as tasks from './Task.js';
+
+interface Entry {
+  readonly name: string;
+  readonly dependsOn: readonly string[];
+  readonly task: tasks.Task<never>;
+}
+
+/** Starts services after those they depend on, and stops them in the reverse order. */
+export class Kernel implements directories.ServiceDirectory {
+  private readonly clock: time.Clock;
+  private readonly entries = new Map<string, Entry>();
+  private started: Entry[] = [];
+
+  /** @param clock The clock that every task gets. */
+  constructor(clock: time.Clock) {
+    this.clock = clock;
+  }
+
+  /** Adds a service under a name. @throws Error when the name is taken. */
+  add<M>(
+    name: names.ServiceName<M>,
+    task: tasks.Task<M>,
+    dependsOn: readonly names.ServiceName<never>[] = [],
+  ): this {
+    if (this.entries.has(name.name))
+      throw new Error(`a service named ${name.name} stands already`);
+    this.entries.set(name.name, {
+      name: name.name,
+      dependsOn: dependsOn.map(dependency => dependency.name),
+      task: task as unknown as tasks.Task<never>,
+    });
+    return this;
+  }
+
+  /** Gets the address of a service, or nothing when none has that name. */
+  get<M>(name: names.ServiceName<M>): messages.Address<M> | undefined {
+    const entry = this.entries.get(name.name);
+    return entry?.task.getAddress() as messages.Address<M> | undefined;
+  }
+
+  /** Gets the address of a service. @throws Error when none has that name. */
+  getOrThrow<M>(name: names.ServiceName<M>): messages.Address<M> {
+    const address = this.get(name);
+    if (address === undefined) throw new Error(`no service ${name.name}`);
+    return address;
+  }
+
+  /** Starts every service. @throws Error on a cycle or a missing dependency. */
+  async start(): Promise<void> {
+    for (const entry of this.getStartOrder()) {
+      this.started.push(entry);
+      await entry.task.start({services: this, clock: this.clock});
+    }
+  }
+
+  /** Stops every started service, dependants first. */
+  async stop(): Promise<void> {
+    const stopping = this.started.reverse();
+    this.started = [];
+    for (const entry of stopping) await entry.task.stop();
+  }
+
+  private getStartOrder(): readonly Entry[] {
+    const order: Entry[] = [];
+    const visiting = new Set<string>();
+    const visit = (name: string) => {
+      const entry = this.entries.get(name);
+      if (entry === undefined) throw new Error(`no service ${name}`);
+      if (order.includes(entry)) return;
+      if (visiting.has(name)) throw new Error(`service cycle at ${name}`);
+      visiting.add(name);
+      entry.dependsOn.forEach(visit);
+      order.push(entry);
+    };
+    [...this.entries.keys()].forEach(visit);
+    return order;
+  }
+}
--- /dev/null
+++ b/src/kernel/services/ServiceDirectory.ts
@@ -0,0 +1,11 @@
+import type * as messages from '../messages/index.js';
+import type * as names from './ServiceName.js';
+
+/** Finds the services of one process by name. */
+export interface ServiceDirectory {
+  /** Gets the address of a service, or nothing when none has that name. */
+  get<M>(name: names.ServiceName<M>): messages.Address<M> | undefined;
+
+  /** Gets the address of a service. @throws Error when none has that name. */
+  getOrThrow<M>(name: names.ServiceName<M>): messages.Address<M>;
+}
--- /dev/null
+++ b/src/kernel/time/index.ts
@@ -0,0 +1,2 @@
+export * from './Clock.js';
+export * from './SystemClock.js';
--- /dev/null
+++ b/src/model/errors/index.ts
@@ -0,0 +1,3 @@
+export * from './BramleyrunError.js';
+export * from './ErrorKind.js';
+export * from './errors.js';
--- /dev/null
+++ b/src/model/fleet/index.ts
@@ -0,0 +1,2 @@
+export * from './FleetMap.js';
+export * from './VmRecord.js';
--- /dev/null
+++ b/src/model/index.ts
@@ -0,0 +1,7 @@
+/** The read-only types that all other folders share. */
+export * from './configuration/index.js';
+export * from './errors/index.js';
+export * from './fleet/index.js';
+export * from './operations/index.js';
+export * from './platform/index.js';
+export * from './requests/index.js';
--- /dev/null
+++ b/src/model/operations/index.ts
@@ -0,0 +1,1 @@
+export * from './Claim.js';
--- /dev/null
+++ b/src/model/platform/index.ts
@@ -0,0 +1,1 @@
+export * from './TableTransaction.js';
--- /dev/null
+++ b/src/model/requests/index.ts
@@ -0,0 +1,1 @@
+export * from './CallerRequest.js';
