--- /dev/null
+++ b/src/decisions/access/index.ts
@@ -0,0 +1,1 @@
+export * from './decideAccess.js';
--- /dev/null
+++ b/src/decisions/claims/index.ts
@@ -0,0 +1,1 @@
+export * from './decideClaim.js';
--- /dev/null
+++ b/src/decisions/fleet/index.ts
@@ -0,0 +1,2 @@
+export * from './decideSlot.js';
+export * from './getHeirIndex.js';
--- /dev/null
+++ b/src/decisions/freshness/index.ts
@@ -0,0 +1,1 @@
+export * from './getFreshUntilMs.js';
--- /dev/null
+++ b/src/decisions/limits/advanceBucket.ts
@@ -0,0 +1,121 @@
+import type * as bucketStates from './BucketState.js';
+
+const MS_PER_SECOND = 1000;
+
+/** Gets the most tokens that the bucket's active shares hold together. */
+export function getCapacityTokens(
+  state: bucketStates.BucketState,
+  limits: bucketStates.BucketLimits,
+  nowMs: number,
+): number {
+  const shareCount = countActiveShares(state, nowMs);
+  return (shareCount * limits.burstTokens) / limits.slotCount;
+}
+
+/** Gets the tokens handed out and not settled. */
+export function getOutstandingTokens(state: bucketStates.BucketState): number {
+  return state.grants.reduce((sum, grant) => sum + grant.tokens, 0);
+}
+
+/** Counts the bucket up to `nowMs`, passing each deadline on the way in its order. */
+export function advanceBucket(
+  state: bucketStates.BucketState,
+  limits: bucketStates.BucketLimits,
+  nowMs: number,
+): bucketStates.BucketState {
+  let current = state;
+  for (;;) {
+    const boundaryMs = getNextBoundaryMs(current, nowMs);
+    if (boundaryMs === undefined) return refill(current, limits, nowMs);
+    current = passBoundary(refill(current, limits, boundaryMs), boundaryMs);
+    current = clipLevel(current, limits);
+  }
+}
+
+/** Cuts the level to what the active shares hold, less the tokens handed out. */
+export function clipLevel(
+  state: bucketStates.BucketState,
+  limits: bucketStates.BucketLimits,
+): bucketStates.BucketState {
+  const capacityTokens = getCapacityTokens(state, limits, state.countedToMs);
+  const roomTokens = Math.max(0, capacityTokens - getOutstandingTokens(state));
+  if (state.levelTokens <= roomTokens) return state;
+  return {...state, levelTokens: roomTokens};
+}
+
+function countActiveShares(
+  state: bucketStates.BucketState,
+  atMs: number,
+): number {
+  let count = 0;
+  for (const share of state.shares)
+    if (share.fromMs <= atMs && atMs < share.untilMs) count += 1;
+  return count;
+}
+
+function refill(
+  state: bucketStates.BucketState,
+  limits: bucketStates.BucketLimits,
+  toMs: number,
+): bucketStates.BucketState {
+  const elapsedMs = toMs - state.countedToMs;
+  if (elapsedMs <= 0) return state;
+  const shareCount = countActiveShares(state, state.countedToMs);
+  const fraction = shareCount / limits.slotCount;
+  const refillTokens =
+    (fraction * limits.ratePerSecond * elapsedMs) / MS_PER_SECOND;
+  const roomTokens =
+    fraction * limits.burstTokens - getOutstandingTokens(state);
+  const levelTokens = Math.max(
+    state.levelTokens,
+    Math.min(roomTokens, state.levelTokens + refillTokens),
+  );
+  return {...state, levelTokens, countedToMs: toMs};
+}
+
+function getNextBoundaryMs(
+  state: bucketStates.BucketState,
+  nowMs: number,
+): number | undefined {
+  let nextMs = Infinity;
+  for (const share of state.shares) {
+    if (share.fromMs > state.countedToMs)
+      nextMs = Math.min(nextMs, share.fromMs);
+    nextMs = Math.min(nextMs, share.untilMs);
+  }
+  for (const lent of state.lent) nextMs = Math.min(nextMs, lent.deadlineMs);
+  for (const grant of state.grants) nextMs = Math.min(nextMs, grant.deadlineMs);
+  return nextMs <= nowMs ? nextMs : undefined;
+}
+
+function passBoundary(
+  state: bucketStates.BucketState,
+  atMs: number,
+): bucketStates.BucketState {
+  const returned = state.lent
+    .filter(lent => lent.deadlineMs <= atMs)
+    .map(lent => getControlledShare(lent.slotIndex, lent.deadlineMs));
+  return {
+    ...state,
+    shares: [
+      ...state.shares.filter(share => share.untilMs > atMs),
+      ...returned,
+    ],
+    lent: state.lent.filter(lent => lent.deadlineMs > atMs),
+    grants: state.grants.filter(grant => grant.deadlineMs > atMs),
+  };
+}
+
+/** Gets a share that the process itself controls. */
+export function getControlledShare(
+  slotIndex: number,
+  fromMs: number,
+): bucketStates.BucketShare {
+  return {
+    slotIndex,
+    origin: 'controlled',
+    lenderProcessId: '',
+    fromMs,
+    untilMs: Infinity,
+  };
+}
--- /dev/null
+++ b/src/decisions/retries/index.ts
@@ -0,0 +1,2 @@
+export * from './Quarantine.js';
+export * from './RetryBudget.js';
--- /dev/null
+++ b/src/decisions/steering/index.ts
@@ -0,0 +1,3 @@
+export * from './BlockTable.js';
+export * from './decideSteering.js';
+export * from './getShiftedRegion.js';
--- /dev/null
+++ b/src/decisions/upstreams/UpstreamView.ts
@@ -0,0 +1,33 @@
+/** How far an upstream is from the deciding process. */
+export type Distance = 'sameDomain' | 'sameRegion' | 'otherRegion';
+
+/** An upstream's own word on its load; a hint that lags and can mislead. */
+export interface LoadReport {
+  /** Requests that it was running or queueing, for everyone. */
+  readonly busyCount: number;
+
+  /** Requests of this process that were in flight when the report was asked for. */
+  readonly ownInFlightCount: number;
+
+  /** Monotonic time in milliseconds at which the report was asked for. */
+  readonly askedAtMs: number;
+}
+
+/** All that a choice needs to know of one upstream. */
+export interface UpstreamView {
+  readonly upstreamId: string;
+  readonly region: string;
+  readonly distance: Distance;
+  readonly slotCount: number;
+
+  /** Requests of this process in flight. */
+  readonly ownInFlightCount: number;
+
+  readonly report: LoadReport | undefined;
+
+  /** Monotonic time in milliseconds until which it gets nothing, after failures seen here. */
+  readonly avoidUntilMs: number;
+
+  /** Monotonic time in milliseconds at which it was first seen to take work. */
+  readonly warmingSinceMs: number;
+}
--- /dev/null
+++ b/src/decisions/upstreams/index.ts
@@ -0,0 +1,3 @@
+export * from './chooseUpstream.js';
+export * from './getLoad.js';
+export * from './UpstreamView.js';
