--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,91 @@
+import {createRequire} from 'node:module';
+
+const gts = createRequire(import.meta.url)('gts');
+
+/** What each folder of src may import; the order is that of docs/DESIGN.md. */
+const FOLDERS = {
+  kernel: [],
+  model: [],
+  decisions: ['model'],
+  codecs: ['model'],
+  services: ['kernel', 'model', 'decisions', 'codecs'],
+  programs: ['kernel', 'model', 'decisions', 'codecs', 'services'],
+};
+
+const ALL = Object.keys(FOLDERS);
+
+/** Decisions have no clock, socket, timer, file, random source or logger of their own. */
+const IMPURE = [
+  'node:net',
+  'node:http',
+  'node:fs',
+  'node:timers',
+  'node:perf_hooks',
+  'pino',
+  'undici',
+  'h3',
+  'pure-rand',
+];
+
+function getRestrictions(folder) {
+  const forbidden = ALL.filter(
+    other => other !== folder && !FOLDERS[folder].includes(other),
+  );
+  const patterns = [];
+  if (forbidden.length > 0)
+    patterns.push({
+      regex: `(\\.\\./)+(${forbidden.join('|')})/`,
+      message: `src/${folder} may import only: ${FOLDERS[folder].join(', ') || 'nothing of ours'}`,
+    });
+  if (folder === 'decisions')
+    patterns.push({
+      group: IMPURE,
+      message: 'decisions are pure',
+    });
+  if (patterns.length === 0) return [];
+  return [
+    {
+      files: [`src/${folder}/**/*.ts`],
+      rules: {'no-restricted-imports': ['error', {patterns}]},
+    },
+  ];
+}
+
+export default [
+  {ignores: ['build/', 'node_modules/']},
+  ...gts,
+  {files: ['**/*.js'], languageOptions: {sourceType: 'module'}},
+  {
+    files: ['**/*.ts'],
+    rules: {
+      'n/no-unpublished-import': 'off',
+      'n/no-process-exit': 'off',
+      'no-restricted-syntax': [
+        'error',
+        {
+          selector: 'ImportDeclaration > ImportSpecifier',
+          message: 'import the whole module as a namespace',
+        },
+      ],
+    },
+  },
+  {
+    files: ['src/decisions/**/*.ts'],
+    rules: {
+      'no-restricted-globals': [
+        'error',
+        'setTimeout',
+        'setInterval',
+        'performance',
+        'Date',
+        'process',
+        'console',
+      ],
+      'no-restricted-properties': [
+        'error',
+        {object: 'Math', property: 'random'},
+      ],
+    },
+  },
+  ...ALL.flatMap(getRestrictions),
+];
--- /dev/null
+++ b/src/codecs/configuration/applyPatch.ts
@@ -0,0 +1,73 @@
+import * as jsonPatch from 'fast-json-patch';
+import * as mergePatch from 'json-merge-patch';
+import * as model from '../../model/configuration/index.js';
+import * as errors from '../../model/errors/index.js';
+import * as schemas from '../schemas/index.js';
+import * as configurationSchemas from './configurationSchema.js';
+
+/**
+ * Gets the document that a patch makes of another one, which stays as it is.
+ * @throws BramleyrunError of kind invalidConfiguration, with the path of the field.
+ */
+export function applyPatch(
+  document: model.ConfigurationDocument,
+  patch: model.ConfigurationPatch,
+): model.ConfigurationDocument {
+  return schemas.parseOrThrow(
+    configurationSchemas.documentSchema,
+    getPatched(structuredClone(document), patch),
+    'invalidConfiguration',
+  );
+}
+
+/** Gets a patch from JSON text: an array is a JSON Patch, an object a merge patch. */
+export function parsePatch(text: string): model.ConfigurationPatch {
+  const value = parseJson(text);
+  if (Array.isArray(value)) return {kind: 'jsonPatch', operations: value};
+  if (typeof value === 'object' && value !== null)
+    return {kind: 'mergePatch', patch: value};
+  return errors.throwError(
+    'invalidConfiguration',
+    'a patch is a JSON object or array',
+  );
+}
+
+function getPatched(
+  document: object,
+  patch: model.ConfigurationPatch,
+): unknown {
+  switch (patch.kind) {
+    case 'mergePatch':
+      return mergePatch.apply(document, structuredClone(patch.patch));
+    case 'jsonPatch':
+      return applyOperations(document, patch.operations);
+    default:
+      return errors.throwUnreachable(patch);
+  }
+}
+
+function applyOperations(
+  document: object,
+  operations: readonly object[],
+): unknown {
+  const copies = structuredClone(operations) as jsonPatch.Operation[];
+  try {
+    return jsonPatch.applyPatch(document, copies, true, false).newDocument;
+  } catch (thrown) {
+    if (!(thrown instanceof jsonPatch.JsonPatchError)) throw thrown;
+    const summary = thrown.message.split('\n')[0];
+    return errors.throwError(
+      'invalidConfiguration',
+      `operation ${thrown.index ?? 0}: ${summary}`,
+      `operations.${thrown.index ?? 0}`,
+    );
+  }
+}
+
+function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return errors.throwError('invalidConfiguration', 'the patch is not JSON');
+  }
+}
--- /dev/null
+++ b/src/codecs/configuration/index.ts
@@ -0,0 +1,2 @@
+export * from './applyPatch.js';
+export * from './configurationSchema.js';
--- /dev/null
+++ b/src/codecs/http/digests.ts
@@ -0,0 +1,26 @@
+import * as crypto from 'node:crypto';
+import type * as requests from '../../model/requests/index.js';
+
+/** Gets the SHA-256 digest of a text, in hexadecimal. */
+export function getTextDigestHex(text: string): string {
+  return crypto.createHash('sha256').update(text).digest('hex');
+}
+
+/** Gets the SHA-256 digest, in hexadecimal, of what a request asks for. */
+export function getRequestDigestHex(
+  request: requests.CallerRequest,
+  organisationId: string,
+): string {
+  return crypto
+    .createHash('sha256')
+    .update(`${organisationId}\n${request.method}\n${request.target}\n`)
+    .update(request.body)
+    .digest('hex');
+}
+
+/** Whether a text equals a secret, in a time that does not tell where they differ. */
+export function isSecret(text: string, secret: string): boolean {
+  const textDigest = crypto.createHash('sha256').update(text).digest();
+  const secretDigest = crypto.createHash('sha256').update(secret).digest();
+  return crypto.timingSafeEqual(textDigest, secretDigest);
+}
--- /dev/null
+++ b/src/codecs/http/encodeError.ts
@@ -0,0 +1,36 @@
+import * as errors from '../../model/errors/index.js';
+import * as headerNames from './headerNames.js';
+
+const MS_PER_SECOND = 1000;
+
+/** An error as an HTTP answer. */
+export interface EncodedError {
+  readonly httpStatus: number;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: string;
+}
+
+/** Gets the HTTP answer for an error at the wall-clock time `nowMs`. */
+export function encodeError(
+  error: errors.BramleyrunError,
+  nowMs: number,
+): EncodedError {
+  const answer = errors.ERROR_ANSWERS[error.kind];
+  const headers: Record<string, string> = {
+    'content-type': 'application/json',
+    [headerNames.ERROR_HEADER]: error.kind,
+    [headerNames.NOT_RUN_HEADER]: String(answer.isNotRun),
+  };
+  if (error.retryAtMs !== undefined) {
+    const waitSeconds = Math.ceil((error.retryAtMs - nowMs) / MS_PER_SECOND);
+    headers['retry-after'] = String(Math.max(1, waitSeconds));
+  }
+  const body = JSON.stringify({
+    error: error.kind,
+    message: error.message,
+    fieldPath: error.fieldPath || undefined,
+    isNotRun: answer.isNotRun,
+    retryAtMs: error.retryAtMs,
+  });
+  return {httpStatus: answer.httpStatus, headers, body};
+}
--- /dev/null
+++ b/src/codecs/index.ts
@@ -0,0 +1,9 @@
+/** Wire and storage forms; they decide nothing. */
+export * from './configuration/index.js';
+export * from './http/index.js';
+export * from './operators/index.js';
+export * from './peers/index.js';
+export * from './platform/index.js';
+export * from './rows/index.js';
+export * from './schemas/index.js';
+export * from './settings/index.js';
--- /dev/null
+++ b/src/codecs/operators/index.ts
@@ -0,0 +1,1 @@
+export * from './operatorSchemas.js';
--- /dev/null
+++ b/src/codecs/peers/index.ts
@@ -0,0 +1,1 @@
+export * from './peerSchemas.js';
--- /dev/null
+++ b/src/codecs/peers/peerSchemas.ts
@@ -0,0 +1,97 @@
+import * as zod from 'zod';
+import type * as peers from '../../model/peers/index.js';
+import * as configuration from '../configuration/index.js';
+import * as rows from '../rows/index.js';
+
+const statusSchema: zod.ZodType<peers.PeerStatus> = zod.strictObject({
+  processId: zod.string(),
+  vmId: zod.string(),
+  configurationVersion: zod.int(),
+  fleetVersion: zod.int(),
+  isCounted: zod.boolean(),
+  isStopping: zod.boolean(),
+});
+
+const loanEntrySchema: zod.ZodType<peers.LoanEntry> = zod.strictObject({
+  organisationId: zod.string(),
+  slotIndexes: zod.array(zod.int().min(0)),
+  levelTokens: zod.number().min(0),
+});
+
+/** The schema of what one daemon asks of another. */
+export const peerRequestSchema: zod.ZodType<peers.PeerRequest> =
+  zod.discriminatedUnion('kind', [
+    zod.strictObject({kind: zod.literal('heartbeat'), status: statusSchema}),
+    zod.strictObject({
+      kind: zod.literal('borrowShares'),
+      borrowerProcessId: zod.string(),
+      loanSequence: zod.int(),
+      termMs: zod.number().positive(),
+      entries: zod.array(zod.strictObject({organisationId: zod.string()})),
+    }),
+    zod.strictObject({
+      kind: zod.literal('returnShares'),
+      borrowerProcessId: zod.string(),
+      loanSequence: zod.int(),
+      entries: zod.array(loanEntrySchema),
+    }),
+    zod.strictObject({
+      kind: zod.literal('takeTokens'),
+      organisationId: zod.string(),
+      grantId: zod.string(),
+      tokens: zod.int().min(1),
+      termMs: zod.number().positive(),
+    }),
+    zod.strictObject({
+      kind: zod.literal('settleTokens'),
+      organisationId: zod.string(),
+      grantId: zod.string(),
+      unspentTokens: zod.number().min(0),
+    }),
+    zod.strictObject({
+      kind: zod.literal('askClaim'),
+      rowKey: zod.string(),
+      attemptId: zod.string(),
+      processId: zod.string(),
+    }),
+    zod.strictObject({
+      kind: zod.literal('reportBreak'),
+      requestDigestHex: zod.string(),
+      upstreamId: zod.string(),
+    }),
+    zod.strictObject({kind: zod.literal('getSharedState')}),
+  ]);
+
+const claimReportSchema: zod.ZodType<peers.ClaimReport> =
+  zod.discriminatedUnion('kind', [
+    zod.strictObject({kind: zod.literal('inProgress')}),
+    zod.strictObject({
+      kind: zod.literal('answered'),
+      answer: rows.storedAnswerSchema,
+    }),
+    zod.strictObject({kind: zod.literal('abandoned')}),
+    zod.strictObject({kind: zod.literal('unknown')}),
+    zod.strictObject({kind: zod.literal('gone')}),
+  ]);
+
+/** The schema of what one daemon answers another. */
+export const peerAnswerSchema: zod.ZodType<peers.PeerAnswer> =
+  zod.discriminatedUnion('kind', [
+    zod.strictObject({kind: zod.literal('status'), status: statusSchema}),
+    zod.strictObject({
+      kind: zod.literal('loans'),
+      entries: zod.array(loanEntrySchema),
+    }),
+    zod.strictObject({kind: zod.literal('done')}),
+    zod.strictObject({
+      kind: zod.literal('tokens'),
+      grantedTokens: zod.int().min(0),
+      retryAfterMs: zod.number().min(0),
+    }),
+    zod.strictObject({kind: zod.literal('claim'), report: claimReportSchema}),
+    zod.strictObject({
+      kind: zod.literal('sharedState'),
+      configuration: configuration.configurationSchema,
+      fleetMap: rows.fleetMapSchema.optional(),
+    }),
+  ]);
--- /dev/null
+++ b/src/codecs/platform/index.ts
@@ -0,0 +1,1 @@
+export * from './platformSchemas.js';
--- /dev/null
+++ b/src/codecs/rows/index.ts
@@ -0,0 +1,2 @@
+export * from './rowKeys.js';
+export * from './rowSchemas.js';
--- /dev/null
+++ b/src/codecs/schemas/index.ts
@@ -0,0 +1,1 @@
+export * from './parseOrThrow.js';
--- /dev/null
+++ b/src/codecs/schemas/parseOrThrow.ts
@@ -0,0 +1,45 @@
+import type * as zod from 'zod';
+import * as errors from '../../model/errors/index.js';
+
+/**
+ * Gets `value` as what the schema describes.
+ * @throws BramleyrunError of the given kind, with the path of the first wrong field.
+ */
+export function parseOrThrow<T>(
+  schema: zod.ZodType<T>,
+  value: unknown,
+  kind: errors.ErrorKind,
+): T {
+  const result = schema.safeParse(value);
+  if (result.success) return result.data;
+  const issue = result.error.issues[0];
+  const fieldPath = getFieldPath(issue);
+  return errors.throwError(
+    kind,
+    `${fieldPath || 'value'}: ${issue.message}`,
+    fieldPath,
+  );
+}
+
+/** Gets JSON text as what the schema describes. @throws BramleyrunError of the given kind. */
+export function parseJsonOrThrow<T>(
+  schema: zod.ZodType<T>,
+  text: string,
+  kind: errors.ErrorKind,
+): T {
+  return parseOrThrow(schema, parseText(text, kind), kind);
+}
+
+function parseText(text: string, kind: errors.ErrorKind): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return errors.throwError(kind, 'the text is not JSON');
+  }
+}
+
+function getFieldPath(issue: zod.core.$ZodIssue): string {
+  const path = issue.path.map(String);
+  const unknownKeys = issue.code === 'unrecognized_keys' ? issue.keys : [];
+  return [...path, ...unknownKeys.slice(0, 1)].join('.');
+}
--- /dev/null
+++ b/src/codecs/settings/index.ts
@@ -0,0 +1,2 @@
+export * from './parseSettings.js';
+export * from './Settings.js';
--- a/src/decisions/claims/decideClaim.ts
+++ b/src/decisions/claims/decideClaim.ts
@@ -1,20 +1,12 @@
 import * as errors from '../../model/errors/index.js';
 import type * as operations from '../../model/operations/index.js';
+import type * as peers from '../../model/peers/index.js';
 
-/** What the holder of a claim says of it. */
+/** What is known of a claim's holder. */
 export type HolderReport =
-  /** It dispatched, or is about to. */
-  | {readonly kind: 'inProgress'}
-  /** It has the answer. */
-  | {readonly kind: 'answered'; readonly answer: operations.StoredAnswer}
-  /** It never dispatched and never will: the claim can be replaced. */
-  | {readonly kind: 'abandoned'}
-  /** It dispatched and does not know what came of it. */
-  | {readonly kind: 'unknown'}
+  | peers.ClaimReport
   /** Nobody answered for the holder. */
-  | {readonly kind: 'unreachable'}
-  /** The holder's process is gone. */
-  | {readonly kind: 'gone'};
+  | {readonly kind: 'unreachable'};
 
 /** What to do about a request whose claim is there already. */
 export type RepeatDecision =
--- a/src/decisions/fleet/decideSlot.ts
+++ b/src/decisions/fleet/decideSlot.ts
@@ -12,6 +12,15 @@
   readonly silentProcessIds: readonly string[];
 }
 
+/** What is certain of a slot's former holder. */
+export type SlotHistory =
+  /** There was none. */
+  | 'unused'
+  /** It gave the slot back, or its process is gone. */
+  | 'gone'
+  /** Nobody hears it, but it may live and be cut off. */
+  | 'silent';
+
 /** How a slot can be had. */
 export type SlotDecision =
   /** The process holds a slot already. */
@@ -21,8 +30,7 @@
       readonly kind: 'take';
       readonly slotIndex: number;
       readonly epoch: number;
-      /** Whether the former holder is certainly gone, and not only silent. */
-      readonly isHolderGone: boolean;
+      readonly history: SlotHistory;
     }
   | {readonly kind: 'none'};
 
@@ -52,12 +60,17 @@
       slot.kind === 'held' &&
       slot.holder.vmId === self.vmId &&
       slot.holder.peersAddress === self.peersAddress,
-    true,
+    'gone',
   );
 }
 
 function getFreeSlot(map: fleet.FleetMap): SlotDecision | undefined {
-  return findSlot(map, slot => slot.kind === 'free', true);
+  const isUnused = (slot: fleet.Slot) =>
+    slot.kind === 'free' && slot.epoch === 0;
+  return (
+    findSlot(map, isUnused, 'unused') ??
+    findSlot(map, slot => slot.kind === 'free', 'gone')
+  );
 }
 
 function getAbandonedSlot(
@@ -72,7 +85,7 @@
       slot.kind === 'held' &&
       isUnlisted(slot.holder.vmId) &&
       evidence.deadProcessIds.includes(slot.holder.processId),
-    true,
+    'gone',
   );
   if (dead !== undefined) return dead;
   return findSlot(
@@ -81,17 +94,17 @@
       slot.kind === 'held' &&
       isUnlisted(slot.holder.vmId) &&
       evidence.silentProcessIds.includes(slot.holder.processId),
-    false,
+    'silent',
   );
 }
 
 function findSlot(
   map: fleet.FleetMap,
   isWanted: (slot: fleet.Slot) => boolean,
-  isHolderGone: boolean,
+  history: SlotHistory,
 ): SlotDecision | undefined {
   const slotIndex = map.slots.findIndex(isWanted);
   const slot = map.slots[slotIndex];
   if (slot === undefined) return undefined;
-  return {kind: 'take', slotIndex, epoch: slot.epoch + 1, isHolderGone};
+  return {kind: 'take', slotIndex, epoch: slot.epoch + 1, history};
 }
--- a/src/decisions/limits/decideBucket.ts
+++ b/src/decisions/limits/decideBucket.ts
@@ -218,17 +218,20 @@
   return {state: {...state, lent}, outcome: {kind: 'done'}};
 }
 
+/** Tokens must not outlive the shares that they come from. */
 function grant(
   state: bucketStates.BucketState,
   limits: bucketStates.BucketLimits,
   request: Extract<bucketEvents.BucketEvent, {kind: 'grant'}>,
 ): BucketDecision {
-  const deadlineMs = state.shares.reduce(
-    (earliestMs, share) => Math.min(earliestMs, share.untilMs),
-    request.deadlineMs,
-  );
+  const {deadlineMs} = request;
+  const lastingCount = state.shares.filter(
+    share => share.fromMs <= state.countedToMs && share.untilMs >= deadlineMs,
+  ).length;
+  const lastingTokens = (lastingCount * limits.burstTokens) / limits.slotCount;
+  const promisedTokens = advancing.getOutstandingTokens(state) + request.tokens;
   const isShort = state.levelTokens + ROUNDING_TOKENS < request.tokens;
-  if (isShort || deadlineMs <= state.countedToMs)
+  if (isShort || promisedTokens > lastingTokens + ROUNDING_TOKENS)
     return {state, outcome: refuse(state, limits, request.tokens)};
   const outstanding = {
     grantId: request.grantId,
--- a/src/decisions/steering/decideSteering.ts
+++ b/src/decisions/steering/decideSteering.ts
@@ -1,7 +1,7 @@
 import type * as fleet from '../../model/fleet/index.js';
 
 /** How long in milliseconds callers may keep an answer. */
-export const STEERING_TERM_MS = 5000;
+export const STEERING_TERM_MS = 3000;
 
 /** What the order of the VMs depends on. */
 export interface SteeringQuestion {
--- a/src/decisions/steering/index.ts
+++ b/src/decisions/steering/index.ts
@@ -1,3 +1,4 @@
 export * from './BlockTable.js';
 export * from './decideSteering.js';
+export * from './getPosition.js';
 export * from './getShiftedRegion.js';
--- a/src/model/errors/ErrorKind.ts
+++ b/src/model/errors/ErrorKind.ts
@@ -14,6 +14,7 @@
   | 'operationInProgress'
   | 'outcomeUnknown'
   | 'rateLimited'
+  | 'limitUnavailable'
   | 'requestQuarantined'
   | 'noUpstream'
   | 'upstreamFailed'
@@ -66,6 +67,7 @@
   operationInProgress: getAnswer(409, -32020, 75, false),
   outcomeUnknown: getAnswer(409, -32021, 75, false),
   rateLimited: getAnswer(429, -32022, 75, true),
+  limitUnavailable: getAnswer(503, -32033, 75, true),
   requestQuarantined: getAnswer(422, -32023, 70, false),
   noUpstream: getAnswer(503, -32024, 69, true),
   upstreamFailed: getAnswer(502, -32025, 70, false),
--- /dev/null
+++ b/src/model/operators/index.ts
@@ -0,0 +1,1 @@
+export * from './OperatorMessage.js';
--- /dev/null
+++ b/src/model/peers/index.ts
@@ -0,0 +1,1 @@
+export * from './PeerMessage.js';
--- a/src/model/platform/TableTransaction.ts
+++ b/src/model/platform/TableTransaction.ts
@@ -2,7 +2,7 @@
 export interface TableRow {
   readonly key: string;
 
-  /** Grows by one with each write of the row; 0 stands for a row that is not there. */
+  /** The commit that wrote the row, never used twice in a table; 0 stands for a row that is not there. */
   readonly version: number;
 
   /** The value as JSON text. */
@@ -30,7 +30,11 @@
 
 /** How a transaction ended. */
 export type TransactionResult =
-  | {readonly kind: 'committed'}
+  | {
+      readonly kind: 'committed';
+      /** The version of every row that was written. */
+      readonly version: number;
+    }
   | {readonly kind: 'conflict'; readonly key: string}
   /** It certainly did not take effect. */
   | {readonly kind: 'unavailable'}
@@ -50,8 +54,7 @@
 
 /** Whether a write of an object was acknowledged. */
 export type PutResult =
-  | {readonly kind: 'stored'}
-  | {readonly kind: 'unavailable'};
+  {readonly kind: 'stored'} | {readonly kind: 'unavailable'};
 
 /** One line of the platform's lagging list of VMs. */
 export interface ListedVm {
--- /dev/null
+++ b/src/programs/daemon/Daemon.ts
@@ -0,0 +1,145 @@
+import * as crypto from 'node:crypto';
+import type * as codecs from '../../codecs/index.js';
+import * as kernel from '../../kernel/index.js';
+import * as errors from '../../model/errors/index.js';
+import * as services from '../../services/index.js';
+
+/** Where a running daemon listens, each as host:port. */
+export interface DaemonAddresses {
+  readonly callersAddress: string;
+  readonly operatorsAddress: string;
+  readonly peersAddress: string;
+  readonly metricsAddress: string;
+}
+
+/** All services of one entry VM. */
+export class Daemon {
+  private readonly settings: codecs.Settings;
+  private readonly processId = crypto.randomUUID();
+  private readonly kernel = new kernel.Kernel(new kernel.SystemClock());
+  private readonly operators: services.OperatorsTask;
+  private readonly metrics: services.MetricsTask;
+
+  /** @param settings What the daemon learns from its file. */
+  constructor(settings: codecs.Settings) {
+    this.settings = settings;
+    const {listeners} = settings;
+    this.operators = new services.OperatorsTask(
+      listeners.operators,
+      settings.operators,
+    );
+    this.metrics = new services.MetricsTask(listeners.metrics);
+    this.addBasics();
+    this.addRequestPath();
+    this.addFleet();
+  }
+
+  /** Starts every service. */
+  async start(): Promise<DaemonAddresses> {
+    await this.kernel.start();
+    const callersAddress = await this.kernel
+      .getOrThrow(services.CALLERS)
+      .ask<string>(reply => ({kind: 'getAddress', reply}));
+    const peersAddress = await this.kernel
+      .getOrThrow(services.PEERS)
+      .ask<string>(reply => ({kind: 'getAddress', reply}));
+    this.log('daemonStarted', {callersAddress, peersAddress});
+    return {
+      callersAddress,
+      peersAddress,
+      operatorsAddress: this.operators.getListenerAddress(),
+      metricsAddress: this.metrics.getListenerAddress(),
+    };
+  }
+
+  /** Leaves the fleet, finishes all requests and stops every service. */
+  async stop(): Promise<void> {
+    this.log('daemonStopping', {});
+    await this.kernel.stop();
+  }
+
+  private addBasics(): void {
+    const {settings} = this;
+    this.kernel
+      .add(
+        services.LOG,
+        new services.LogTask(settings.log.level, settings.vm.vmId),
+      )
+      .add(services.METRICS, this.metrics, [services.LOG])
+      .add(
+        services.PLATFORM,
+        new services.PlatformTask(getAdapter(settings.platform)),
+        [services.METRICS],
+      )
+      .add(
+        services.PEERS,
+        new services.PeersTask(settings.listeners.peers, settings.peerSecret),
+        [services.METRICS],
+      )
+      .add(services.CONFIGURATION, new services.ConfigurationTask(), [
+        services.PLATFORM,
+        services.PEERS,
+      ]);
+  }
+
+  private addRequestPath(): void {
+    const {settings} = this;
+    const seed = crypto.randomInt(2 ** 31);
+    this.kernel
+      .add(services.LIMITS, new services.LimitsTask(), [services.PEERS])
+      .add(
+        services.OPERATIONS,
+        new services.OperationsTask(
+          this.processId,
+          settings.advertised.peersAddress,
+        ),
+        [services.PLATFORM, services.PEERS],
+      )
+      .add(services.UPSTREAMS, new services.UpstreamsTask(settings.vm, seed), [
+        services.PEERS,
+      ])
+      .add(
+        services.CALLERS,
+        new services.CallersTask(settings.listeners.callers),
+        [
+          services.LIMITS,
+          services.OPERATIONS,
+          services.UPSTREAMS,
+          services.CONFIGURATION,
+        ],
+      )
+      .add(services.OPERATORS, this.operators, [services.CONFIGURATION]);
+  }
+
+  private addFleet(): void {
+    const {settings} = this;
+    const fleet = new services.FleetTask({
+      identity: {...settings.vm, processId: this.processId},
+      slotCount: settings.fleet.slotCount,
+      advertised: settings.advertised,
+    });
+    this.kernel.add(services.FLEET, fleet, [
+      services.CALLERS,
+      services.OPERATORS,
+    ]);
+  }
+
+  private log(name: services.EventName, fields: services.LogFields): void {
+    this.kernel
+      .getOrThrow(services.LOG)
+      .post({kind: 'event', level: 'info', name, fields});
+  }
+}
+
+function getAdapter(
+  settings: codecs.PlatformSettings,
+): services.PlatformAdapter {
+  switch (settings.kind) {
+    case 'embedded':
+      return new services.EmbeddedPlatform();
+    case 'http':
+      return new services.HttpPlatform(settings.url);
+    default:
+      return errors.throwUnreachable(settings);
+  }
+}
--- /dev/null
+++ b/src/programs/daemon/main.ts
@@ -0,0 +1,65 @@
+#!/usr/bin/env node
+import * as fs from 'node:fs';
+import * as util from 'node:util';
+import * as codecs from '../../codecs/index.js';
+import * as errors from '../../model/errors/index.js';
+import * as daemons from './Daemon.js';
+
+const USAGE = 'usage: bramleyrund --settings FILE [--check]';
+
+/** What the command line says. */
+interface Arguments {
+  readonly settingsFile: string;
+  readonly isCheck: boolean;
+}
+
+function parseArguments(): Arguments {
+  const {values} = util.parseArgs({
+    options: {
+      settings: {type: 'string'},
+      check: {type: 'boolean', default: false},
+    },
+  });
+  if (values.settings === undefined)
+    return errors.throwError('invalidSettings', USAGE, 'settings');
+  return {settingsFile: values.settings, isCheck: values.check};
+}
+
+function readSettings(settingsFile: string): codecs.Settings {
+  try {
+    return codecs.parseSettings(fs.readFileSync(settingsFile, 'utf8'));
+  } catch (thrown) {
+    const error = errors.toError(thrown);
+    return errors.throwError(
+      'invalidSettings',
+      `${settingsFile}: ${error.message}`,
+      error.fieldPath,
+    );
+  }
+}
+
+async function run(): Promise<void> {
+  const {settingsFile, isCheck} = parseArguments();
+  const settings = readSettings(settingsFile);
+  if (isCheck) {
+    process.stdout.write(`${settingsFile} is valid\n`);
+    return;
+  }
+  const daemon = new daemons.Daemon(settings);
+  const addresses = await daemon.start();
+  process.stdout.write(`${JSON.stringify(addresses)}\n`);
+  let isStopping = false;
+  const stop = () => {
+    if (isStopping) return;
+    isStopping = true;
+    void daemon.stop().then(() => process.exit(0));
+  };
+  process.on('SIGTERM', stop);
+  process.on('SIGINT', stop);
+}
+
+run().catch((thrown: unknown) => {
+  const error = errors.toError(thrown);
+  process.stderr.write(`bramleyrund: ${error.message}\n`);
+  process.exitCode = errors.ERROR_ANSWERS[error.kind].exitCode;
+});
--- /dev/null
+++ b/src/services/callers/CallersTask.ts
@@ -0,0 +1,301 @@
+import * as crypto from 'node:crypto';
+import type * as http from 'node:http';
+import * as h3 from 'h3';
+import * as codecs from '../../codecs/index.js';
+import * as decisions from '../../decisions/index.js';
+import * as kernel from '../../kernel/index.js';
+import * as configurations from '../../model/configuration/index.js';
+import * as errors from '../../model/errors/index.js';
+import type * as requests from '../../model/requests/index.js';
+import * as configurationService from '../configuration/ConfigurationMessage.js';
+import * as fleetService from '../fleet/FleetMessage.js';
+import * as fleetViews from '../fleet/FleetView.js';
+import * as httpService from '../http/index.js';
+import * as logs from '../logs/index.js';
+import * as metrics from '../metrics/index.js';
+import type * as messages from './CallersMessage.js';
+import * as refusals from './RefusalLog.js';
+import * as flows from './RequestFlow.js';
+import * as desks from './SteeringDesk.js';
+import * as writers from './writeAnswer.js';
+
+const HTTP_OK = 200;
+const HTTP_UNAVAILABLE = 503;
+
+/** How long in milliseconds callers that hold older steering answers are still served on a stop. */
+const DRAIN_MS = decisions.STEERING_TERM_MS + 500;
+
+/** Owns the callers' listener: steers callers, and takes their requests to upstreams and back. */
+export class CallersTask extends kernel.Task<messages.CallersMessage> {
+  private readonly listener: httpService.HttpListener;
+  private readonly desk = new desks.SteeringDesk();
+  private readonly refusals = new refusals.RefusalLog();
+  private readonly keys = new Map<string, configurations.Key>();
+  private configuration: configurations.Configuration =
+    configurations.EMPTY_CONFIGURATION;
+  private view: fleetViews.FleetView | undefined;
+  private flow: flows.RequestFlow | undefined;
+
+  /** @param address Where callers come in. */
+  constructor(address: codecs.ListenAddress) {
+    super();
+    const app = new h3.H3();
+    app.get(
+      '/-/steer',
+      h3.fromNodeHandler((request, response) =>
+        this.answerSteer(
+          request as http.IncomingMessage,
+          response as http.ServerResponse,
+        ),
+      ),
+    );
+    app.get('/-/health', event => this.getHealth(event));
+    app.all(
+      '/**',
+      h3.fromNodeHandler((request, response) =>
+        this.handle(
+          request as http.IncomingMessage,
+          response as http.ServerResponse,
+        ),
+      ),
+    );
+    this.listener = new httpService.HttpListener(
+      address,
+      h3.toNodeHandler(app),
+    );
+  }
+
+  protected override async onStart(): Promise<void> {
+    const {services} = this.getContext();
+    this.flow = new flows.RequestFlow(this.getContext());
+    const subscriber = this.getAddress();
+    services
+      .getOrThrow(configurationService.CONFIGURATION)
+      .post({kind: 'subscribe', subscriber});
+    services
+      .getOrThrow(fleetService.FLEET)
+      .post({kind: 'subscribe', subscriber});
+    await this.listener.open();
+  }
+
+  protected override async onStop(): Promise<void> {
+    await this.listener.close();
+  }
+
+  protected override receive(message: messages.CallersMessage): void {
+    switch (message.kind) {
+      case 'configurationChanged':
+        this.setConfiguration(message.configuration);
+        return;
+      case 'fleetChanged':
+        this.view = message.view;
+        return;
+      case 'getAddress':
+        message.reply(this.listener.getAddress());
+        return;
+      case 'steer':
+        message.reply(
+          this.steer(message.clientAddress, message.organisationId),
+        );
+        return;
+      case 'explain':
+        message.reply(this.refusals.get(message.organisationId));
+        return;
+      case 'drain':
+        this.listener.startClosing();
+        setTimeout(
+          () => void this.listener.close().then(message.reply),
+          DRAIN_MS,
+        );
+        return;
+      default:
+        errors.throwUnreachable(message);
+    }
+  }
+
+  private setConfiguration(configuration: configurations.Configuration): void {
+    const {document} = configuration;
+    this.configuration = configuration;
+    this.keys.clear();
+    for (const keyId in document.keys) {
+      const key = document.keys[keyId];
+      this.keys.set(key.digestSha256Hex, key);
+    }
+    this.desk.update(document);
+  }
+
+  private getHealth(event: h3.H3Event): object {
+    const isFresh = fleetViews.isFresh(this.view, this.getContext().clock);
+    event.res.status = isFresh ? HTTP_OK : HTTP_UNAVAILABLE;
+    const configurationVersion = this.configuration.version;
+    const slotCount = this.view?.controlledSlots.length ?? 0;
+    return {isFresh, configurationVersion, slotCount};
+  }
+
+  private answerSteer(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): void {
+    const clientAddress = getClientAddress(request);
+    const key = getBearer(request);
+    const digest = key === '' ? '' : codecs.getTextDigestHex(key);
+    const organisationId = this.keys.get(digest)?.organisationId ?? '';
+    const answer = this.steer(clientAddress, organisationId);
+    this.count('steering_answers');
+    response.writeHead(HTTP_OK, {'content-type': 'application/json'});
+    response.end(JSON.stringify(answer));
+  }
+
+  private steer(
+    clientAddress: string,
+    organisationId: string,
+  ): decisions.SteeringAnswer {
+    const nowMs = this.getContext().clock.wallMs();
+    if (this.view === undefined) return {choices: [], expiresAtMs: nowMs};
+    return this.desk.steer(this.view, clientAddress, organisationId, nowMs);
+  }
+
+  private async handle(
+    incoming: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): Promise<void> {
+    const startedAtMs = this.getContext().clock.monotonicMs();
+    const requestId = crypto.randomUUID();
+    const caller = new AbortController();
+    response.once('close', () => {
+      if (!response.writableFinished) caller.abort();
+    });
+    try {
+      const request = await readRequest(incoming, requestId);
+      const result = await this.run(request, caller.signal);
+      await this.write(response, incoming, requestId, result);
+    } catch (thrown) {
+      this.fail(response, requestId, errors.toError(thrown));
+    }
+    const valueMs = this.getContext().clock.monotonicMs() - startedAtMs;
+    this.getContext()
+      .services.getOrThrow(metrics.METRICS)
+      .post({kind: 'observe', name: 'request_ms', valueMs});
+  }
+
+  private async run(
+    request: requests.CallerRequest,
+    abandoned: AbortSignal,
+  ): Promise<flows.FlowResult> {
+    const access = this.decideAccess(request);
+    if (access.kind === 'refused') {
+      const error = errors.getError(access.error, access.message);
+      return {kind: 'failed', error};
+    }
+    if (this.flow === undefined) throw new Error('the task has not started');
+    const result = await this.flow.run({request, access, abandoned});
+    if (result.kind === 'failed')
+      this.noteRefusal(access, request.requestId, result.error);
+    return result;
+  }
+
+  private decideAccess(
+    request: requests.CallerRequest,
+  ): decisions.AccessDecision {
+    const {clock} = this.getContext();
+    const question: decisions.AccessQuestion = {
+      target: request.target,
+      keyDigestHex:
+        request.key === '' ? '' : codecs.getTextDigestHex(request.key),
+      hasIdempotencyKey: request.idempotencyKey !== '',
+      freshUntilMs: fleetViews.isFresh(this.view, clock)
+        ? (this.view?.freshUntilMs ?? 0)
+        : -Infinity,
+    };
+    return decisions.decideAccess(
+      this.configuration.document,
+      this.keys,
+      question,
+      clock.monotonicMs(),
+    );
+  }
+
+  private noteRefusal(
+    access: Exclude<decisions.AccessDecision, {kind: 'refused'}>,
+    requestId: string,
+    error: errors.BramleyrunError,
+  ): void {
+    const organisationId = access.kind === 'keyed' ? access.organisationId : '';
+    const nowMs = this.getContext().clock.wallMs();
+    this.refusals.add(organisationId, requestId, error, nowMs);
+    if (error.kind === 'rateLimited') this.count('requests_refused_rate');
+  }
+
+  private async write(
+    response: http.ServerResponse,
+    incoming: http.IncomingMessage,
+    requestId: string,
+    result: flows.FlowResult,
+  ): Promise<void> {
+    switch (result.kind) {
+      case 'answered': {
+        const isHead = incoming.method === 'HEAD';
+        await writers.writeAnswer(response, requestId, isHead, result.answer);
+        this.count('requests_answered');
+        return;
+      }
+      case 'replayed':
+        writers.writeStored(response, requestId, result.answer);
+        this.count('requests_answered');
+        return;
+      case 'failed':
+        this.fail(response, requestId, result.error);
+        return;
+      default:
+        errors.throwUnreachable(result);
+    }
+  }
+
+  private fail(
+    response: http.ServerResponse,
+    requestId: string,
+    error: errors.BramleyrunError,
+  ): void {
+    const {isNotRun} = errors.ERROR_ANSWERS[error.kind];
+    this.count(isNotRun ? 'requests_refused' : 'requests_failed');
+    const nowMs = this.getContext().clock.wallMs();
+    writers.writeError(response, requestId, error, nowMs);
+    this.getContext()
+      .services.getOrThrow(logs.LOG)
+      .post({
+        kind: 'event',
+        level: 'debug',
+        name: 'requestRefused',
+        fields: {request: requestId, error: error.kind},
+      });
+  }
+
+  private count(name: metrics.CounterName): void {
+    const {services} = this.getContext();
+    services.getOrThrow(metrics.METRICS).post({kind: 'count', name});
+  }
+}
+
+async function readRequest(
+  incoming: http.IncomingMessage,
+  requestId: string,
+): Promise<requests.CallerRequest> {
+  const body = await httpService.readBody(incoming);
+  return codecs.decodeCallerRequest({
+    requestId,
+    method: incoming.method ?? 'GET',
+    target: incoming.url ?? '/',
+    rawHeaders: incoming.rawHeaders,
+    body,
+  });
+}
+
+function getClientAddress(request: http.IncomingMessage): string {
+  const url = new URL(request.url ?? '/', 'http://bramleyrun');
+  return url.searchParams.get('address') ?? request.socket.remoteAddress ?? '';
+}
+
+function getBearer(request: http.IncomingMessage): string {
+  const authorization = request.headers.authorization ?? '';
+  return authorization.replace(/^bearer\s+/i, '');
+}
--- /dev/null
+++ b/src/services/callers/index.ts
@@ -0,0 +1,3 @@
+export * from './CallersMessage.js';
+export * from './CallersTask.js';
+export * from './RequestFlow.js';
--- /dev/null
+++ b/src/services/callers/writeAnswer.ts
@@ -0,0 +1,94 @@
+import type * as http from 'node:http';
+import * as stream from 'node:stream';
+import * as streamPromises from 'node:stream/promises';
+import * as codecs from '../../codecs/index.js';
+import * as errors from '../../model/errors/index.js';
+import type * as operations from '../../model/operations/index.js';
+import type * as requests from '../../model/requests/index.js';
+
+/** Headers that speak of one connection only. */
+const NOT_RETURNED: ReadonlySet<string> = new Set([
+  'connection',
+  'keep-alive',
+  'transfer-encoding',
+  'trailer',
+  'upgrade',
+  codecs.REQUEST_ID_HEADER,
+]);
+
+const CONTENT_LENGTH = 'content-length';
+const REPLAYED_HEADER = 'x-bramleyrun-replayed';
+
+/** Sends an upstream's answer; one that breaks off breaks the caller's connection as well. */
+export async function writeAnswer(
+  response: http.ServerResponse,
+  requestId: string,
+  isHead: boolean,
+  answer: requests.UpstreamAnswer,
+): Promise<void> {
+  const headers = [codecs.REQUEST_ID_HEADER, requestId];
+  for (const {name, value} of answer.headers)
+    if (!NOT_RETURNED.has(name)) headers.push(name, value);
+  switch (answer.body.kind) {
+    case 'whole': {
+      const {bytes} = answer.body;
+      const hasLength = answer.headers.some(
+        header => header.name === CONTENT_LENGTH,
+      );
+      if (!hasLength && !isHead)
+        headers.push(CONTENT_LENGTH, String(bytes.length));
+      response.writeHead(answer.httpStatus, headers);
+      response.end(bytes);
+      return;
+    }
+    case 'stream':
+      response.writeHead(answer.httpStatus, headers);
+      await streamPromises.pipeline(
+        stream.Readable.from(answer.body.chunks),
+        response,
+      );
+      return;
+    default:
+      errors.throwUnreachable(answer.body);
+  }
+}
+
+/** Sends a stored answer again. */
+export function writeStored(
+  response: http.ServerResponse,
+  requestId: string,
+  answer: operations.StoredAnswer,
+): void {
+  const bytes = Buffer.from(answer.bodyBase64, 'base64');
+  const headers = [
+    codecs.REQUEST_ID_HEADER,
+    requestId,
+    REPLAYED_HEADER,
+    'true',
+  ];
+  if (answer.contentType !== '')
+    headers.push('content-type', answer.contentType);
+  headers.push(CONTENT_LENGTH, String(bytes.length));
+  response.writeHead(answer.httpStatus, headers);
+  response.end(bytes);
+}
+
+/** Sends an error; an answer that has begun is broken off instead. */
+export function writeError(
+  response: http.ServerResponse,
+  requestId: string,
+  error: errors.BramleyrunError,
+  nowMs: number,
+): void {
+  if (response.headersSent) {
+    response.destroy();
+    return;
+  }
+  const encoded = codecs.encodeError(error, nowMs);
+  response.writeHead(encoded.httpStatus, {
+    ...encoded.headers,
+    [codecs.REQUEST_ID_HEADER]: requestId,
+    [CONTENT_LENGTH]: String(Buffer.byteLength(encoded.body)),
+  });
+  response.end(encoded.body);
+}
--- /dev/null
+++ b/src/services/configuration/ConfigurationTask.ts
@@ -0,0 +1,225 @@
+import * as codecs from '../../codecs/index.js';
+import * as kernel from '../../kernel/index.js';
+import * as configurations from '../../model/configuration/index.js';
+import * as errors from '../../model/errors/index.js';
+import type * as platform from '../../model/platform/index.js';
+import * as fleetService from '../fleet/FleetMessage.js';
+import * as logs from '../logs/index.js';
+import * as peersService from '../peers/PeersMessage.js';
+import * as platformService from '../platform/index.js';
+import * as changes from './changeConfiguration.js';
+import type * as messages from './ConfigurationMessage.js';
+import * as history from './readHistory.js';
+
+const POLL_INTERVAL_MS = 1000;
+const PEER_TIMEOUT_MS = 1000;
+
+/** How long in milliseconds a change is waited for until it is in force everywhere. */
+const SPREAD_TIMEOUT_MS = 5000;
+
+/** Reads the configuration from the table or from peers, and puts changes into it. */
+export class ConfigurationTask extends kernel.Task<messages.ConfigurationMessage> {
+  private readonly subscribers: kernel.Address<messages.ConfigurationChanged>[] =
+    [];
+  private current: configurations.Configuration =
+    configurations.EMPTY_CONFIGURATION;
+  private isPolling = false;
+  private isAskingPeer = false;
+  private timer: NodeJS.Timeout | undefined;
+
+  protected override async onStart(): Promise<void> {
+    this.timer = setInterval(
+      () => this.getAddress().post({kind: 'poll'}),
+      POLL_INTERVAL_MS,
+    );
+  }
+
+  protected override async onStop(): Promise<void> {
+    clearInterval(this.timer);
+  }
+
+  protected override receive(message: messages.ConfigurationMessage): void {
+    switch (message.kind) {
+      case 'subscribe':
+        this.subscribers.push(message.subscriber);
+        return;
+      case 'poll':
+        void this.poll();
+        return;
+      case 'newerAtPeer':
+        void this.poll().then(() => this.askPeer(message.peersAddress));
+        return;
+      case 'getCurrent':
+        message.reply(this.current);
+        return;
+      case 'patch':
+        void this.patch(message.command).then(message.reply);
+        return;
+      case 'history':
+        void history
+          .readHistory(
+            this.getContext().services,
+            message.afterVersion,
+            message.limit,
+          )
+          .then(message.reply);
+        return;
+      default:
+        errors.throwUnreachable(message);
+    }
+  }
+
+  /** Reads the table; a read that brings the newest version counts towards freshness. */
+  private async poll(): Promise<void> {
+    if (this.isPolling) return;
+    this.isPolling = true;
+    try {
+      await this.readTable();
+    } catch (thrown) {
+      this.logRejection(errors.toError(thrown));
+    } finally {
+      this.isPolling = false;
+    }
+  }
+
+  private async readTable(): Promise<void> {
+    const {services, clock} = this.getContext();
+    const sentAtMs = clock.monotonicMs();
+    const result = await services
+      .getOrThrow(platformService.PLATFORM)
+      .ask<platform.ReadResult>(reply => ({
+        kind: 'read',
+        request: {
+          kind: 'keys',
+          keys: [codecs.HEAD_ROW_KEY, codecs.FLEET_ROW_KEY],
+        },
+        reply,
+      }));
+    if (result.kind === 'unavailable') return;
+    const headRow = result.rows.find(row => row.key === codecs.HEAD_ROW_KEY);
+    const fleetRow = result.rows.find(row => row.key === codecs.FLEET_ROW_KEY);
+    if (headRow !== undefined) await this.readVersion(headRow);
+    services.getOrThrow(fleetService.FLEET).post({
+      kind: 'tableRead',
+      sentAtMs,
+      fleetRow,
+      configurationVersion: this.current.version,
+    });
+  }
+
+  /** Brings in the version that a head row names. @throws BramleyrunError when it can't be had. */
+  private async readVersion(headRow: platform.TableRow): Promise<void> {
+    const head = codecs.parseJsonOrThrow(
+      codecs.headRowSchema,
+      headRow.value,
+      'invalidRow',
+    );
+    if (head.version <= this.current.version) return;
+    const services = this.getContext().services;
+    const document = await changes.readDocument(services, head);
+    this.apply({version: head.version, document});
+  }
+
+  private async askPeer(peersAddress: string): Promise<void> {
+    if (this.isAskingPeer) return;
+    this.isAskingPeer = true;
+    const {services, clock} = this.getContext();
+    const deadlineMs = clock.monotonicMs() + PEER_TIMEOUT_MS;
+    const result = await services
+      .getOrThrow(peersService.PEERS)
+      .ask<peersService.CallResult>(reply => ({
+        kind: 'call',
+        peersAddress,
+        request: {kind: 'getSharedState'},
+        deadlineMs,
+        reply,
+      }));
+    this.isAskingPeer = false;
+    if (result.kind !== 'answered' || result.answer.kind !== 'sharedState')
+      return;
+    const {configuration, fleetMap} = result.answer;
+    this.apply(configuration);
+    const fleet = services.getOrThrow(fleetService.FLEET);
+    if (fleetMap) fleet.post({kind: 'mapReceived', map: fleetMap});
+  }
+
+  /** Puts a version in force; an older one is never put back. */
+  private apply(configuration: configurations.Configuration): void {
+    if (configuration.version <= this.current.version) return;
+    this.current = configuration;
+    const {services} = this.getContext();
+    for (const subscriber of this.subscribers)
+      subscriber.post({kind: 'configurationChanged', configuration});
+    services.getOrThrow(fleetService.FLEET).post({
+      kind: 'configurationApplied',
+      version: configuration.version,
+    });
+    services.getOrThrow(logs.LOG).post({
+      kind: 'event',
+      level: 'info',
+      name: 'configurationApplied',
+      fields: {version: configuration.version},
+    });
+  }
+
+  private async patch(
+    command: messages.PatchCommand,
+  ): Promise<messages.PatchResult> {
+    try {
+      return await this.patchOrThrow(command);
+    } catch (thrown) {
+      return {kind: 'failed', error: errors.toError(thrown)};
+    }
+  }
+
+  private async patchOrThrow(
+    command: messages.PatchCommand,
+  ): Promise<messages.PatchResult> {
+    const {services, clock} = this.getContext();
+    const base = await changes.readNewestOrThrow(services, this.current);
+    this.apply(base.configuration);
+    if (base.configuration.version !== command.baseVersion) {
+      const settled = await changes.findChange(services, command);
+      if (settled !== undefined) return await this.awaitSpread(settled);
+      return errors.throwError(
+        'versionConflict',
+        `the configuration is at version ${base.configuration.version}, not ${command.baseVersion}`,
+        'baseVersion',
+      );
+    }
+    const next = {
+      version: command.baseVersion + 1,
+      document: codecs.applyPatch(base.configuration.document, command.patch),
+    };
+    if (command.isDryRun) return {kind: 'valid', configuration: next};
+    const changedAtMs = clock.wallMs();
+    await changes.commitOrThrow(services, base, next, command, changedAtMs);
+    this.apply(next);
+    return await this.awaitSpread(next.version);
+  }
+
+  private async awaitSpread(version: number): Promise<messages.PatchResult> {
+    const {services, clock} = this.getContext();
+    const deadlineMs = clock.monotonicMs() + SPREAD_TIMEOUT_MS;
+    const spread = await services
+      .getOrThrow(fleetService.FLEET)
+      .ask<fleetService.VersionSpread>(reply => ({
+        kind: 'awaitVersion',
+        version,
+        deadlineMs,
+        reply,
+      }));
+    return {kind: 'committed', version, spread};
+  }
+
+  private logRejection(error: errors.BramleyrunError): void {
+    this.getContext()
+      .services.getOrThrow(logs.LOG)
+      .post({
+        kind: 'event',
+        level: 'error',
+        name: 'configurationRejected',
+        fields: {error: error.kind, message: error.message},
+      });
+  }
+}
--- /dev/null
+++ b/src/services/configuration/index.ts
@@ -0,0 +1,2 @@
+export * from './ConfigurationMessage.js';
+export * from './ConfigurationTask.js';
--- /dev/null
+++ b/src/services/fleet/FleetTask.ts
@@ -0,0 +1,513 @@
+import * as codecs from '../../codecs/index.js';
+import * as decisions from '../../decisions/index.js';
+import * as kernel from '../../kernel/index.js';
+import * as errors from '../../model/errors/index.js';
+import * as fleet from '../../model/fleet/index.js';
+import type * as peers from '../../model/peers/index.js';
+import * as callersService from '../callers/CallersMessage.js';
+import * as configurationService from '../configuration/ConfigurationMessage.js';
+import * as logs from '../logs/index.js';
+import * as operationsService from '../operations/OperationsMessage.js';
+import * as peersService from '../peers/PeersMessage.js';
+import * as messages from './FleetMessage.js';
+import type * as views from './FleetView.js';
+import * as records from './PeerRecord.js';
+import * as registrations from './SlotRegistration.js';
+
+const HEARTBEAT_INTERVAL_MS = 300;
+const HEARTBEAT_TIMEOUT_MS = 1000;
+
+/** The part of a VM's record that comes from the settings. */
+export type VmIdentity = Omit<
+  fleet.VmRecord,
+  'callersAddress' | 'peersAddress'
+>;
+
+/** What the fleet task is told when it is made. */
+export interface FleetOptions {
+  readonly identity: VmIdentity;
+  readonly slotCount: number;
+
+  /** Addresses that others use, where they differ from the listeners' own. */
+  readonly advertised: codecs.Settings['advertised'];
+}
+
+interface Waiter {
+  readonly version: number;
+  readonly deadlineMs: number;
+  readonly reply: kernel.Reply<messages.VersionSpread>;
+}
+
+/** Knows who is in the fleet, who holds which slot and how fresh this process is. */
+export class FleetTask extends kernel.Task<messages.FleetMessage> {
+  private readonly options: FleetOptions;
+  private readonly subscribers: kernel.Address<messages.FleetChanged>[] = [];
+  private readonly peerRecords = new Map<string, records.PeerRecord>();
+  private readonly waiters = new Set<Waiter>();
+  private self: fleet.VmRecord | undefined;
+  private map: fleet.FleetMap | undefined;
+  private tenure: decisions.SlotTenure | undefined;
+  private freshness: decisions.FreshnessState = decisions.NOT_FRESH;
+  private configurationVersion = 0;
+  private isRegistering = false;
+  private isStopping = false;
+  private wasFresh = false;
+  private timer: NodeJS.Timeout | undefined;
+
+  /** @param options Who this process is. */
+  constructor(options: FleetOptions) {
+    super();
+    this.options = options;
+  }
+
+  protected override async onStart(): Promise<void> {
+    const {services} = this.getContext();
+    const callersAddress =
+      this.options.advertised.callersAddress ??
+      (await services
+        .getOrThrow(callersService.CALLERS)
+        .ask<string>(reply => ({kind: 'getAddress', reply})));
+    const peersAddress =
+      this.options.advertised.peersAddress ??
+      (await services
+        .getOrThrow(peersService.PEERS)
+        .ask<string>(reply => ({kind: 'getAddress', reply})));
+    this.self = {...this.options.identity, callersAddress, peersAddress};
+    this.timer = setInterval(
+      () => this.getAddress().post({kind: 'tick'}),
+      HEARTBEAT_INTERVAL_MS,
+    );
+    services
+      .getOrThrow(configurationService.CONFIGURATION)
+      .post({kind: 'poll'});
+  }
+
+  protected override async onStop(): Promise<void> {
+    const {services} = this.getContext();
+    this.isStopping = true;
+    this.sendHeartbeats();
+    this.publish();
+    await services
+      .getOrThrow(callersService.CALLERS)
+      .ask<void>(reply => ({kind: 'drain', reply}));
+    await services
+      .getOrThrow(operationsService.OPERATIONS)
+      .ask<void>(reply => ({kind: 'drain', reply}));
+    clearInterval(this.timer);
+    if (this.self !== undefined) {
+      await registrations.unregister(services, this.getSelf());
+      this.log('info', 'slotReleased', {slot: this.tenure?.slotIndex ?? -1});
+    }
+  }
+
+  protected override receive(message: messages.FleetMessage): void {
+    switch (message.kind) {
+      case 'subscribe':
+        this.subscribers.push(message.subscriber);
+        return;
+      case 'tableRead':
+        this.noteTableRead(message);
+        return;
+      case 'configurationApplied':
+        this.configurationVersion = message.version;
+        this.sendHeartbeats();
+        return;
+      case 'mapReceived':
+        this.setMap(message.map);
+        return;
+      case 'heartbeat':
+        this.noteStatus(message.status);
+        message.reply(this.getStatus());
+        return;
+      case 'heartbeatAnswered':
+        this.noteAnswer(message);
+        return;
+      case 'processDied':
+        this.noteDeath(message.processId);
+        return;
+      case 'tick':
+        this.tick();
+        return;
+      case 'getMap':
+        message.reply(this.map);
+        return;
+      case 'listVms':
+        message.reply(this.getVmStatuses());
+        return;
+      case 'awaitVersion':
+        this.waiters.add(message);
+        this.answerWaiters();
+        return;
+      default:
+        errors.throwUnreachable(message);
+    }
+  }
+
+  private tick(): void {
+    this.sendHeartbeats();
+    this.publish();
+    this.answerWaiters();
+  }
+
+  private noteTableRead(
+    message: Extract<messages.FleetMessage, {kind: 'tableRead'}>,
+  ): void {
+    this.configurationVersion = message.configurationVersion;
+    this.setMap(this.getMapOfRow(message.fleetRow));
+    this.freshness = decisions.addTableRead(this.freshness, message.sentAtMs);
+    void this.register();
+    this.publish();
+  }
+
+  private getMapOfRow(
+    row: {readonly version: number; readonly value: string} | undefined,
+  ): fleet.FleetMap {
+    if (row === undefined)
+      return registrations.getNewMap(this.options.slotCount);
+    const value = codecs.parseJsonOrThrow(
+      codecs.fleetRowSchema,
+      row.value,
+      'invalidRow',
+    );
+    return {version: row.version, ...value};
+  }
+
+  private setMap(map: fleet.FleetMap): void {
+    if (this.map !== undefined && map.version <= this.map.version) return;
+    const self = this.self;
+    if (self === undefined) return;
+    this.map = map;
+    const nowMs = this.nowMs();
+    const processIds = new Set<string>();
+    for (const vm of fleet.getVms(map)) {
+      processIds.add(vm.processId);
+      if (vm.processId === self.processId || this.peerRecords.has(vm.processId))
+        continue;
+      this.peerRecords.set(vm.processId, {
+        vm,
+        status: undefined,
+        answeredSentAtMs: -Infinity,
+        deadSinceMs: undefined,
+        knownSinceMs: nowMs,
+      });
+    }
+    for (const processId of this.peerRecords.keys())
+      if (!processIds.has(processId)) this.peerRecords.delete(processId);
+    this.forgetLostSlot(map, self.processId);
+    this.sendHeartbeats();
+    this.publish();
+  }
+
+  private forgetLostSlot(map: fleet.FleetMap, processId: string): void {
+    if (this.tenure === undefined) return;
+    if (fleet.getSlotIndex(map, processId) === this.tenure.slotIndex) return;
+    this.log('warn', 'slotLost', {slot: this.tenure.slotIndex});
+    this.tenure = undefined;
+  }
+
+  private async register(): Promise<void> {
+    if (this.isRegistering || this.isStopping || this.map === undefined) return;
+    if (this.tenure !== undefined) return;
+    this.isRegistering = true;
+    const nowMs = this.nowMs();
+    const result = await registrations.register(
+      this.getContext().services,
+      this.map,
+      this.getSelf(),
+      [...this.peerRecords.values()],
+      nowMs,
+    );
+    this.isRegistering = false;
+    if (result.kind === 'failed') return;
+    if (result.kind === 'slot') {
+      this.tenure = {...result.tenure, takenAtMs: this.nowMs()};
+      this.log('info', 'slotTaken', {
+        slot: this.tenure.slotIndex,
+        history: this.tenure.history,
+      });
+    }
+    this.setMap(result.map);
+  }
+
+  private sendHeartbeats(): void {
+    if (this.self === undefined || this.map === undefined) return;
+    for (const record of this.peerRecords.values()) this.sendHeartbeat(record);
+  }
+
+  private sendHeartbeat(record: records.PeerRecord): void {
+    const sentAtMs = this.nowMs();
+    const {processId} = record.vm;
+    const request: peers.PeerRequest = {
+      kind: 'heartbeat',
+      status: this.getStatus(),
+    };
+    void this.getContext()
+      .services.getOrThrow(peersService.PEERS)
+      .ask<peersService.CallResult>(reply => ({
+        kind: 'call',
+        peersAddress: record.vm.peersAddress,
+        request,
+        deadlineMs: sentAtMs + HEARTBEAT_TIMEOUT_MS,
+        reply,
+      }))
+      .then(result =>
+        this.getAddress().post({
+          kind: 'heartbeatAnswered',
+          processId,
+          sentAtMs,
+          result,
+        }),
+      );
+  }
+
+  private noteAnswer(
+    message: Extract<messages.FleetMessage, {kind: 'heartbeatAnswered'}>,
+  ): void {
+    const {processId, result, sentAtMs} = message;
+    switch (result.kind) {
+      case 'failed':
+        return;
+      case 'connectionRefused':
+        this.noteDeath(processId);
+        return;
+      case 'answered':
+        if (result.answer.kind !== 'status') return;
+        this.noteHeard(processId, result.answer.status, sentAtMs);
+        return;
+      default:
+        errors.throwUnreachable(result);
+    }
+  }
+
+  /** Another process at the same address proves that the expected one is gone. */
+  private noteHeard(
+    processId: string,
+    status: peers.PeerStatus,
+    sentAtMs: number,
+  ): void {
+    if (status.processId !== processId) {
+      this.noteDeath(processId);
+      return;
+    }
+    const record = this.peerRecords.get(processId);
+    if (record === undefined) return;
+    const answeredSentAtMs = Math.max(record.answeredSentAtMs, sentAtMs);
+    this.peerRecords.set(processId, {...record, status, answeredSentAtMs});
+    this.noteStatus(status);
+    this.noteFreshness(status, sentAtMs);
+    this.noteKnownTenure();
+    this.publish();
+    this.answerWaiters();
+  }
+
+  private noteStatus(status: peers.PeerStatus): void {
+    const record = this.peerRecords.get(status.processId);
+    const isNewer =
+      status.configurationVersion > this.configurationVersion ||
+      status.fleetVersion > (this.map?.version ?? 0);
+    const services = this.getContext().services;
+    const address = services.getOrThrow(configurationService.CONFIGURATION);
+    if (!isNewer) return;
+    if (record === undefined) address.post({kind: 'poll'});
+    else
+      address.post({
+        kind: 'newerAtPeer',
+        peersAddress: record.vm.peersAddress,
+      });
+  }
+
+  private noteFreshness(status: peers.PeerStatus, sentAtMs: number): void {
+    const map = this.map;
+    if (map === undefined || !status.isCounted) return;
+    if (status.configurationVersion > this.configurationVersion) return;
+    if (status.fleetVersion > map.version) return;
+    const slotIndex = fleet.getSlotIndex(map, status.processId);
+    if (slotIndex === undefined) return;
+    this.freshness = decisions.addHeard(this.freshness, {slotIndex, sentAtMs});
+  }
+
+  /** Notes when a majority of the other holders knows that this process took its slot. */
+  private noteKnownTenure(): void {
+    const tenure = this.tenure;
+    if (tenure === undefined || tenure.knownAtMs !== undefined) return;
+    const knowing = [...this.peerRecords.values()].filter(
+      record =>
+        record.status !== undefined &&
+        record.status.isCounted &&
+        record.status.fleetVersion >= tenure.takenInVersion,
+    );
+    if (knowing.length < this.getMajority()) return;
+    this.tenure = {...tenure, knownAtMs: this.nowMs()};
+  }
+
+  private noteDeath(processId: string): void {
+    const record = this.peerRecords.get(processId);
+    if (record === undefined || record.deadSinceMs !== undefined) return;
+    this.peerRecords.set(processId, {...record, deadSinceMs: this.nowMs()});
+    this.log('warn', 'peerDied', {peer: record.vm.vmId, process: processId});
+    this.publish();
+  }
+
+  private publish(): void {
+    const view = this.getView();
+    if (view === undefined) return;
+    this.logFreshness(view);
+    for (const subscriber of this.subscribers)
+      subscriber.post({kind: 'fleetChanged', view});
+  }
+
+  private getView(): views.FleetView | undefined {
+    const {map, self} = this;
+    if (map === undefined || self === undefined) return undefined;
+    const nowMs = this.nowMs();
+    const serving = [...this.peerRecords.values()].filter(record =>
+      records.isServing(record, nowMs),
+    );
+    const dead = this.getDead();
+    const freshUntilMs = this.getFreshUntilMs();
+    return {
+      self,
+      map,
+      servingVms: [
+        ...(this.isStopping ? [] : [self]),
+        ...serving.map(record => record.vm),
+      ],
+      liveHolders: this.getLiveHolders(map, self, serving),
+      deadProcessIds: dead.map(entry => entry.processId),
+      controlledSlots: decisions.getControlledSlots(map, this.tenure, dead),
+      freshUntilMs,
+      freshUntilWallMs:
+        this.getContext().clock.wallMs() + (freshUntilMs - nowMs),
+    };
+  }
+
+  private getLiveHolders(
+    map: fleet.FleetMap,
+    self: fleet.VmRecord,
+    serving: readonly records.PeerRecord[],
+  ): readonly views.LiveHolder[] {
+    const isSelfLive = this.tenure !== undefined && !this.isStopping;
+    const vms = [
+      ...(isSelfLive ? [self] : []),
+      ...serving.map(record => record.vm),
+    ];
+    return vms.flatMap(({processId, peersAddress}) => {
+      const slotIndex = fleet.getSlotIndex(map, processId);
+      return slotIndex === undefined
+        ? []
+        : [{processId, peersAddress, slotIndex}];
+    });
+  }
+
+  private getDead(): readonly decisions.DeadProcess[] {
+    return [...this.peerRecords.values()].flatMap(record =>
+      record.deadSinceMs === undefined
+        ? []
+        : [{processId: record.vm.processId, sinceMs: record.deadSinceMs}],
+    );
+  }
+
+  private getFreshUntilMs(): number {
+    return decisions.getFreshUntilMs(this.freshness, {
+      majority: this.getMajority(),
+      isSelfCounted: this.isCounted(),
+    });
+  }
+
+  private getStatus(): peers.PeerStatus {
+    return {
+      processId: this.options.identity.processId,
+      vmId: this.options.identity.vmId,
+      configurationVersion: this.configurationVersion,
+      fleetVersion: this.map?.version ?? 0,
+      isCounted: this.isCounted(),
+      isStopping: this.isStopping,
+    };
+  }
+
+  private isCounted(): boolean {
+    return this.tenure !== undefined && decisions.isTenureCounted(this.tenure);
+  }
+
+  private getMajority(): number {
+    return fleet.getMajority(this.map?.slots.length ?? this.options.slotCount);
+  }
+
+  private getVmStatuses(): readonly messages.VmStatus[] {
+    const {map, self} = this;
+    if (map === undefined || self === undefined) return [];
+    const nowMs = this.nowMs();
+    const own: messages.VmStatus = {
+      vm: self,
+      slotIndex: this.tenure?.slotIndex,
+      isAnswering: true,
+      isStopping: this.isStopping,
+      configurationVersion: this.configurationVersion,
+    };
+    const others = [...this.peerRecords.values()].map(record => ({
+      vm: record.vm,
+      slotIndex: fleet.getSlotIndex(map, record.vm.processId),
+      isAnswering: records.isAlive(record, nowMs),
+      isStopping: record.status?.isStopping ?? false,
+      configurationVersion: record.status?.configurationVersion ?? 0,
+    }));
+    return [own, ...others];
+  }
+
+  private answerWaiters(): void {
+    const nowMs = this.nowMs();
+    for (const waiter of this.waiters) {
+      const spread = this.getSpread(waiter.version);
+      const isDone = spread.isAccepted && spread.missingVmIds.length === 0;
+      if (!isDone && nowMs < waiter.deadlineMs) continue;
+      this.waiters.delete(waiter);
+      waiter.reply(spread);
+    }
+  }
+
+  private getSpread(version: number): messages.VersionSpread {
+    const statuses = this.getVmStatuses();
+    const having = statuses.filter(
+      status => status.configurationVersion >= version,
+    );
+    const holdersHaving = having.filter(
+      status => status.slotIndex !== undefined,
+    );
+    const missing = statuses.filter(status => !having.includes(status));
+    return {
+      isAccepted: holdersHaving.length >= this.getMajority(),
+      inForceVmIds: having.map(status => status.vm.vmId),
+      missingVmIds: missing.map(status => status.vm.vmId),
+    };
+  }
+
+  private getSelf(): fleet.VmRecord {
+    if (this.self === undefined) throw new Error('the fleet has not started');
+    return this.self;
+  }
+
+  private nowMs(): number {
+    return this.getContext().clock.monotonicMs();
+  }
+
+  private logFreshness(view: views.FleetView): void {
+    const isFresh = view.freshUntilMs > this.nowMs();
+    if (isFresh === this.wasFresh) return;
+    this.wasFresh = isFresh;
+    this.log(
+      isFresh ? 'info' : 'warn',
+      isFresh ? 'freshnessRegained' : 'freshnessLost',
+      {},
+    );
+  }
+
+  private log(
+    level: logs.LogMessage['level'],
+    name: logs.EventName,
+    fields: logs.LogFields,
+  ): void {
+    this.getContext()
+      .services.getOrThrow(logs.LOG)
+      .post({kind: 'event', level, name, fields});
+  }
+}
--- /dev/null
+++ b/src/services/fleet/index.ts
@@ -0,0 +1,3 @@
+export * from './FleetMessage.js';
+export * from './FleetView.js';
+export * from './FleetTask.js';
--- /dev/null
+++ b/src/services/http/HttpListener.ts
@@ -0,0 +1,52 @@
+import * as http from 'node:http';
+import type * as net from 'node:net';
+import type * as settings from '../../codecs/settings/index.js';
+
+/** How long in milliseconds an idle connection is kept. */
+const KEEP_ALIVE_MS = 30_000;
+
+/** A listening HTTP socket that closes without cutting a request. */
+export class HttpListener {
+  private readonly server: http.Server;
+  private readonly address: settings.ListenAddress;
+  private isClosing = false;
+
+  /** @param handler Answers each request. */
+  constructor(address: settings.ListenAddress, handler: http.RequestListener) {
+    this.address = address;
+    this.server = http.createServer((request, response) => {
+      if (this.isClosing) response.setHeader('connection', 'close');
+      handler(request, response);
+    });
+    this.server.keepAliveTimeout = KEEP_ALIVE_MS;
+  }
+
+  /** Starts to listen. @throws Error when the address is taken. */
+  async open(): Promise<void> {
+    await new Promise<void>((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(this.address.port, this.address.host, resolve);
+    });
+  }
+
+  /** Gets the address as host:port, with the port that was given. */
+  getAddress(): string {
+    const {port} = this.server.address() as net.AddressInfo;
+    return `${this.address.host}:${port}`;
+  }
+
+  /** Asks callers to leave: each answer from now on closes its connection. */
+  startClosing(): void {
+    this.isClosing = true;
+  }
+
+  /** Takes no new connection, waits for the requests under way, and closes. */
+  async close(): Promise<void> {
+    this.isClosing = true;
+    const closed = new Promise<void>(resolve =>
+      this.server.close(() => resolve()),
+    );
+    this.server.closeIdleConnections();
+    await closed;
+  }
+}
--- /dev/null
+++ b/src/services/http/index.ts
@@ -0,0 +1,2 @@
+export * from './HttpListener.js';
+export * from './readBody.js';
--- /dev/null
+++ b/src/services/http/readBody.ts
@@ -0,0 +1,36 @@
+import type * as http from 'node:http';
+import * as errors from '../../model/errors/index.js';
+
+/** The largest body in bytes that a request may have. */
+export const MAX_BODY_BYTES = 1_048_576;
+
+const EMPTY_BODY = Buffer.alloc(0);
+
+/**
+ * Reads the whole body of a request.
+ * @throws BramleyrunError of kind invalidRequest when it is too large or breaks off.
+ */
+export function readBody(request: http.IncomingMessage): Promise<Buffer> {
+  const hasBody =
+    request.headers['content-length'] !== undefined ||
+    request.headers['transfer-encoding'] !== undefined;
+  if (!hasBody) return Promise.resolve(EMPTY_BODY);
+  return new Promise((resolve, reject) => {
+    const chunks: Buffer[] = [];
+    let sizeBytes = 0;
+    request.on('data', (chunk: Buffer) => {
+      sizeBytes += chunk.length;
+      if (sizeBytes <= MAX_BODY_BYTES) chunks.push(chunk);
+    });
+    request.on('end', () => {
+      if (sizeBytes <= MAX_BODY_BYTES) resolve(Buffer.concat(chunks));
+      else reject(getInvalid(`the body is over ${MAX_BODY_BYTES} bytes`));
+    });
+    request.on('error', () => reject(getInvalid('the body broke off')));
+    request.on('close', () => reject(getInvalid('the body broke off')));
+  });
+}
+
+function getInvalid(message: string): errors.BramleyrunError {
+  return errors.getError('invalidRequest', message, 'body');
+}
--- /dev/null
+++ b/src/services/index.ts
@@ -0,0 +1,12 @@
+/** The tasks of a daemon; each owns its sockets and its state. */
+export * from './callers/index.js';
+export * from './configuration/index.js';
+export * from './fleet/index.js';
+export * from './limits/index.js';
+export * from './logs/index.js';
+export * from './metrics/index.js';
+export * from './operations/index.js';
+export * from './operators/index.js';
+export * from './peers/index.js';
+export * from './platform/index.js';
+export * from './upstreams/index.js';
--- /dev/null
+++ b/src/services/limits/index.ts
@@ -0,0 +1,2 @@
+export * from './LimitsMessage.js';
+export * from './LimitsTask.js';
--- /dev/null
+++ b/src/services/logs/EventName.ts
@@ -0,0 +1,21 @@
+/** Every event that a daemon logs. */
+export type EventName =
+  | 'daemonStarted'
+  | 'daemonStopping'
+  | 'daemonStopped'
+  | 'configurationApplied'
+  | 'configurationRejected'
+  | 'slotTaken'
+  | 'slotReleased'
+  | 'slotLost'
+  | 'peerDied'
+  | 'freshnessLost'
+  | 'freshnessRegained'
+  | 'claimAbandoned'
+  | 'claimWithdrawn'
+  | 'outcomeStored'
+  | 'upstreamAvoided'
+  | 'requestSuspected'
+  | 'requestRefused'
+  | 'platformFailed'
+  | 'taskFailed';
--- /dev/null
+++ b/src/services/logs/LogTask.ts
@@ -0,0 +1,58 @@
+import type * as stream from 'node:stream';
+import * as pino from 'pino';
+import * as pinoLogfmt from 'pino-logfmt';
+import * as kernel from '../../kernel/index.js';
+import type * as messages from './LogMessage.js';
+
+/** Builds the stream that turns log lines into key=value pairs. */
+type BuildLogfmtStream = (
+  options: pinoLogfmt.LogFmtTransportOptions,
+) => Promise<stream.Transform>;
+
+/** Writes one line of key=value pairs for each event to standard error. */
+export class LogTask extends kernel.Task<messages.LogMessage> {
+  private readonly level: messages.LogMessage['level'];
+  private readonly vmId: string;
+  private logger: pino.Logger | undefined;
+  private output: stream.Transform | undefined;
+
+  /** @param level The least level that is written. */
+  constructor(level: messages.LogMessage['level'], vmId: string) {
+    super();
+    this.level = level;
+    this.vmId = vmId;
+  }
+
+  protected override async onStart(): Promise<void> {
+    const {default: buildStream} = pinoLogfmt as unknown as {
+      readonly default: BuildLogfmtStream;
+    };
+    this.output = await buildStream({
+      includeLevelLabel: true,
+      levelLabelKey: 'level',
+      formatTime: true,
+      timeKey: 'time',
+      timeFormat: "yyyy-mm-dd'T'HH:MM:ss.l",
+      destination: process.stderr.fd,
+      sync: true,
+    });
+    const options = {level: this.level, base: {vm: this.vmId}};
+    this.logger = pino.pino(options, this.output);
+  }
+
+  protected override async onStop(): Promise<void> {
+    this.output?.end();
+    if (this.output !== undefined) await waitForClose(this.output);
+  }
+
+  protected override receive(message: messages.LogMessage): void {
+    this.logger?.[message.level]({event: message.name, ...message.fields});
+  }
+}
+
+function waitForClose(output: stream.Transform): Promise<void> {
+  return new Promise(resolve => {
+    output.once('close', resolve);
+    if (output.closed) resolve();
+  });
+}
--- /dev/null
+++ b/src/services/logs/index.ts
@@ -0,0 +1,3 @@
+export * from './EventName.js';
+export * from './LogMessage.js';
+export * from './LogTask.js';
--- /dev/null
+++ b/src/services/metrics/MetricsTask.ts
@@ -0,0 +1,104 @@
+import * as h3 from 'h3';
+import * as hdr from 'hdr-histogram-js';
+import type * as settings from '../../codecs/settings/index.js';
+import * as kernel from '../../kernel/index.js';
+import * as errors from '../../model/errors/index.js';
+import * as http from '../http/index.js';
+import type * as messages from './MetricsMessage.js';
+
+const QUANTILES: readonly number[] = [50, 90, 99, 99.9];
+const PERCENT = 100;
+const MICROSECONDS_PER_MS = 1000;
+const MICROSECONDS_PER_SECOND = 1_000_000;
+
+/** Counts and measures, and shows both on the metrics listener in text form. */
+export class MetricsTask extends kernel.Task<messages.MetricsMessage> {
+  private readonly listener: http.HttpListener;
+  private readonly counters = new Map<string, number>();
+  private readonly histograms = new Map<string, hdr.Histogram>();
+
+  /** @param address Where the metrics are shown. */
+  constructor(address: settings.ListenAddress) {
+    super();
+    const app = new h3.H3();
+    app.get('/metrics', event => {
+      event.res.headers.set('content-type', 'text/plain; version=0.0.4');
+      return this.getText();
+    });
+    this.listener = new http.HttpListener(address, h3.toNodeHandler(app));
+  }
+
+  /** Gets the listener's address as host:port. */
+  getListenerAddress(): string {
+    return this.listener.getAddress();
+  }
+
+  protected override async onStart(): Promise<void> {
+    await this.listener.open();
+  }
+
+  protected override async onStop(): Promise<void> {
+    await this.listener.close();
+  }
+
+  protected override receive(message: messages.MetricsMessage): void {
+    switch (message.kind) {
+      case 'count':
+        this.counters.set(
+          message.name,
+          (this.counters.get(message.name) ?? 0) + 1,
+        );
+        return;
+      case 'observe':
+        this.getHistogram(message.name).recordValue(
+          Math.max(0, Math.round(message.valueMs * MICROSECONDS_PER_MS)),
+        );
+        return;
+      default:
+        errors.throwUnreachable(message);
+    }
+  }
+
+  private getHistogram(name: string): hdr.Histogram {
+    const known = this.histograms.get(name);
+    if (known !== undefined) return known;
+    const histogram = hdr.build({numberOfSignificantValueDigits: 3});
+    this.histograms.set(name, histogram);
+    return histogram;
+  }
+
+  private getText(): string {
+    const lines: string[] = [];
+    for (const [name, count] of this.counters) {
+      lines.push(`# TYPE bramleyrun_${name}_total counter`);
+      lines.push(`bramleyrun_${name}_total ${count}`);
+    }
+    for (const [name, histogram] of this.histograms)
+      lines.push(...getSummaryLines(name, histogram));
+    const memory = process.memoryUsage();
+    const cpu = process.cpuUsage();
+    const cpuSeconds = (cpu.user + cpu.system) / MICROSECONDS_PER_SECOND;
+    lines.push('# TYPE process_resident_memory_bytes gauge');
+    lines.push(`process_resident_memory_bytes ${memory.rss}`);
+    lines.push('# TYPE process_cpu_seconds_total counter');
+    lines.push(`process_cpu_seconds_total ${cpuSeconds}`);
+    return lines.join('\n') + '\n';
+  }
+}
+
+function getSummaryLines(
+  name: string,
+  histogram: hdr.Histogram,
+): readonly string[] {
+  const metric = `bramleyrun_${name}`;
+  const quantiles = QUANTILES.map(percentile => {
+    const valueMs =
+      histogram.getValueAtPercentile(percentile) / MICROSECONDS_PER_MS;
+    return `${metric}{quantile="${percentile / PERCENT}"} ${valueMs}`;
+  });
+  return [
+    `# TYPE ${metric} summary`,
+    ...quantiles,
+    `${metric}_count ${histogram.totalCount}`,
+  ];
+}
--- /dev/null
+++ b/src/services/metrics/index.ts
@@ -0,0 +1,2 @@
+export * from './MetricsMessage.js';
+export * from './MetricsTask.js';
--- /dev/null
+++ b/src/services/operations/index.ts
@@ -0,0 +1,2 @@
+export * from './OperationsMessage.js';
+export * from './OperationsTask.js';
--- /dev/null
+++ b/src/services/operators/index.ts
@@ -0,0 +1,1 @@
+export * from './OperatorsTask.js';
--- /dev/null
+++ b/src/services/peers/PeersTask.ts
@@ -0,0 +1,215 @@
+import * as h3 from 'h3';
+import * as jsonRpc from 'json-rpc-2.0';
+import * as undici from 'undici';
+import * as codecs from '../../codecs/index.js';
+import * as kernel from '../../kernel/index.js';
+import type * as configurations from '../../model/configuration/index.js';
+import * as errors from '../../model/errors/index.js';
+import type * as fleet from '../../model/fleet/index.js';
+import type * as peers from '../../model/peers/index.js';
+import * as configurationService from '../configuration/ConfigurationMessage.js';
+import * as fleetService from '../fleet/FleetMessage.js';
+import * as http from '../http/index.js';
+import * as limitsService from '../limits/LimitsMessage.js';
+import * as metrics from '../metrics/index.js';
+import * as operationsService from '../operations/OperationsMessage.js';
+import * as upstreamsService from '../upstreams/UpstreamsMessage.js';
+import type * as messages from './PeersMessage.js';
+
+const MAX_CONNECTIONS = 8;
+const CONNECT_TIMEOUT_MS = 1000;
+const HTTP_OK = 200;
+const HTTP_UNAUTHORIZED = 401;
+
+const METHODS: readonly peers.PeerRequest['kind'][] = [
+  'heartbeat',
+  'borrowShares',
+  'returnShares',
+  'takeTokens',
+  'settleTokens',
+  'askClaim',
+  'reportBreak',
+  'getSharedState',
+];
+
+/** Owns the peers' listener and the connections to other daemons. */
+export class PeersTask extends kernel.Task<messages.PeersMessage> {
+  private readonly secret: string;
+  private readonly localAddress: string;
+  private readonly listener: http.HttpListener;
+  private readonly rpc = new jsonRpc.JSONRPCServer({errorListener: () => {}});
+  private readonly pools = new Map<string, undici.Pool>();
+  private nextCallId = 1;
+
+  /** @param secret What peers show each other. */
+  constructor(address: codecs.ListenAddress, secret: string) {
+    super();
+    this.secret = secret;
+    this.localAddress = address.host;
+    for (const method of METHODS)
+      this.rpc.addMethod(method, params => this.answer(method, params));
+    this.rpc.mapErrorToJSONRPCErrorResponse = (id, thrown) => {
+      const error = errors.toError(thrown);
+      const {rpcCode} = errors.ERROR_ANSWERS[error.kind];
+      return jsonRpc.createJSONRPCErrorResponse(id, rpcCode, error.message);
+    };
+    const app = new h3.H3();
+    app.post('/rpc', event => this.handle(event));
+    this.listener = new http.HttpListener(address, h3.toNodeHandler(app));
+  }
+
+  protected override async onStart(): Promise<void> {
+    await this.listener.open();
+  }
+
+  protected override async onStop(): Promise<void> {
+    await Promise.all([...this.pools.values()].map(pool => pool.destroy()));
+    await this.listener.close();
+  }
+
+  protected override receive(message: messages.PeersMessage): void {
+    switch (message.kind) {
+      case 'call':
+        void this.call(message).then(message.reply);
+        return;
+      case 'getAddress':
+        message.reply(this.listener.getAddress());
+        return;
+      default:
+        errors.throwUnreachable(message);
+    }
+  }
+
+  private async handle(event: h3.H3Event): Promise<unknown> {
+    const shown = event.req.headers.get('authorization') ?? '';
+    if (!codecs.isSecret(shown, `Bearer ${this.secret}`)) {
+      event.res.status = HTTP_UNAUTHORIZED;
+      return '';
+    }
+    return await this.rpc.receiveJSON(await event.req.text());
+  }
+
+  private async answer(
+    method: peers.PeerRequest['kind'],
+    params: object,
+  ): Promise<peers.PeerAnswer> {
+    const request = codecs.parseOrThrow(
+      codecs.peerRequestSchema,
+      {...params, kind: method},
+      'invalidPeerMessage',
+    );
+    const {services} = this.getContext();
+    switch (request.kind) {
+      case 'heartbeat': {
+        const status = await services
+          .getOrThrow(fleetService.FLEET)
+          .ask<peers.PeerStatus>(reply => ({
+            kind: 'heartbeat',
+            status: request.status,
+            reply,
+          }));
+        return {kind: 'status', status};
+      }
+      case 'borrowShares':
+      case 'returnShares':
+      case 'takeTokens':
+      case 'settleTokens':
+        return await services
+          .getOrThrow(limitsService.LIMITS)
+          .ask(reply => ({kind: 'peerRequest', request, reply}));
+      case 'askClaim':
+        return await services
+          .getOrThrow(operationsService.OPERATIONS)
+          .ask(reply => ({kind: 'peerRequest', request, reply}));
+      case 'reportBreak':
+        return await services
+          .getOrThrow(upstreamsService.UPSTREAMS)
+          .ask(reply => ({kind: 'peerRequest', request, reply}));
+      case 'getSharedState':
+        return await this.getSharedState();
+      default:
+        return errors.throwUnreachable(request);
+    }
+  }
+
+  private async getSharedState(): Promise<peers.PeerAnswer> {
+    const {services} = this.getContext();
+    const [configuration, fleetMap] = await Promise.all([
+      services
+        .getOrThrow(configurationService.CONFIGURATION)
+        .ask<configurations.Configuration>(reply => ({
+          kind: 'getCurrent',
+          reply,
+        })),
+      services
+        .getOrThrow(fleetService.FLEET)
+        .ask<fleet.FleetMap | undefined>(reply => ({kind: 'getMap', reply})),
+    ]);
+    return {kind: 'sharedState', configuration, fleetMap};
+  }
+
+  private async call(
+    message: Extract<messages.PeersMessage, {kind: 'call'}>,
+  ): Promise<messages.CallResult> {
+    const {services, clock} = this.getContext();
+    const remainingMs = message.deadlineMs - clock.monotonicMs();
+    if (remainingMs <= 0) return {kind: 'failed'};
+    const counter = services.getOrThrow(metrics.METRICS);
+    counter.post({kind: 'count', name: 'peer_calls'});
+    const result = await this.exchange(message, remainingMs);
+    if (result.kind !== 'answered')
+      counter.post({kind: 'count', name: 'peer_calls_failed'});
+    return result;
+  }
+
+  private async exchange(
+    message: Extract<messages.PeersMessage, {kind: 'call'}>,
+    remainingMs: number,
+  ): Promise<messages.CallResult> {
+    const {kind: method, ...params} = message.request;
+    const id = this.nextCallId++;
+    try {
+      const response = await this.getPool(message.peersAddress).request({
+        method: 'POST',
+        path: '/rpc',
+        headers: {
+          authorization: `Bearer ${this.secret}`,
+          'content-type': 'application/json',
+        },
+        body: JSON.stringify(jsonRpc.createJSONRPCRequest(id, method, params)),
+        signal: AbortSignal.timeout(Math.ceil(remainingMs)),
+      });
+      const text = await response.body.text();
+      if (response.statusCode !== HTTP_OK) return {kind: 'failed'};
+      return decodeAnswer(text, id);
+    } catch (thrown) {
+      const code = (thrown as {readonly code?: string}).code;
+      return {kind: code === 'ECONNREFUSED' ? 'connectionRefused' : 'failed'};
+    }
+  }
+
+  private getPool(peersAddress: string): undici.Pool {
+    const known = this.pools.get(peersAddress);
+    if (known !== undefined) return known;
+    const pool = new undici.Pool(`http://${peersAddress}`, {
+      connections: MAX_CONNECTIONS,
+      connect: {timeout: CONNECT_TIMEOUT_MS},
+      localAddress: this.localAddress,
+    });
+    this.pools.set(peersAddress, pool);
+    return pool;
+  }
+}
+
+function decodeAnswer(text: string, id: number): messages.CallResult {
+  const response: unknown = JSON.parse(text);
+  if (!jsonRpc.isJSONRPCResponse(response) || response.id !== id)
+    return {kind: 'failed'};
+  if (response.error !== undefined) return {kind: 'failed'};
+  const answer = codecs.parseOrThrow(
+    codecs.peerAnswerSchema,
+    response.result,
+    'invalidPeerMessage',
+  );
+  return {kind: 'answered', answer};
+}
--- /dev/null
+++ b/src/services/peers/index.ts
@@ -0,0 +1,2 @@
+export * from './PeersMessage.js';
+export * from './PeersTask.js';
--- /dev/null
+++ b/src/services/platform/adapters/index.ts
@@ -0,0 +1,3 @@
+export * from './EmbeddedPlatform.js';
+export * from './HttpPlatform.js';
+export * from './PlatformAdapter.js';
--- /dev/null
+++ b/src/services/platform/index.ts
@@ -0,0 +1,3 @@
+export * from './adapters/index.js';
+export * from './PlatformMessage.js';
+export * from './PlatformTask.js';
--- /dev/null
+++ b/src/services/upstreams/UpstreamsMessage.ts
@@ -0,0 +1,57 @@
+import * as kernel from '../../kernel/index.js';
+import type * as errors from '../../model/errors/index.js';
+import type * as peers from '../../model/peers/index.js';
+import type * as requests from '../../model/requests/index.js';
+import type * as configurationService from '../configuration/index.js';
+import type * as fleetService from '../fleet/index.js';
+
+/** A request on its way to some upstream of a service. */
+export interface DispatchRequest {
+  readonly serviceId: string;
+  readonly organisationId: string;
+  readonly request: requests.CallerRequest;
+
+  /** Whether it may be sent again after it may have run. */
+  readonly isIdempotent: boolean;
+
+  /** Wall-clock time in milliseconds by which the caller has an answer. */
+  readonly deadlineMs: number;
+
+  /** Aborted when the caller has left. */
+  readonly abandoned: AbortSignal;
+}
+
+/** What came of a request. */
+export type DispatchResult =
+  | {readonly kind: 'answered'; readonly answer: requests.UpstreamAnswer}
+  /** No upstream ran it, nor will. */
+  | {
+      readonly kind: 'notRun';
+      readonly error: errors.ErrorKind;
+      readonly message: string;
+    }
+  /** It may have run. */
+  | {
+      readonly kind: 'mayHaveRun';
+      readonly error: errors.ErrorKind;
+      readonly message: string;
+    };
+
+/** What the upstreams service takes. */
+export type UpstreamsMessage =
+  | configurationService.ConfigurationChanged
+  | fleetService.FleetChanged
+  | {
+      readonly kind: 'dispatch';
+      readonly dispatch: DispatchRequest;
+      readonly reply: kernel.Reply<DispatchResult>;
+    }
+  | {
+      readonly kind: 'peerRequest';
+      readonly request: Extract<peers.PeerRequest, {kind: 'reportBreak'}>;
+      readonly reply: kernel.Reply<peers.PeerAnswer>;
+    }
+  | {readonly kind: 'tick'};
+
+/** The upstreams service. */
+export const UPSTREAMS = kernel.getServiceName<UpstreamsMessage>('upstreams');
--- /dev/null
+++ b/src/services/upstreams/UpstreamsTask.ts
@@ -0,0 +1,404 @@
+import * as pureRand from 'pure-rand';
+import * as zod from 'zod';
+import * as codecs from '../../codecs/index.js';
+import * as decisions from '../../decisions/index.js';
+import * as kernel from '../../kernel/index.js';
+import * as errors from '../../model/errors/index.js';
+import type * as peers from '../../model/peers/index.js';
+import * as configurationService from '../configuration/ConfigurationMessage.js';
+import * as fleetService from '../fleet/FleetMessage.js';
+import type * as fleetViews from '../fleet/FleetView.js';
+import * as logs from '../logs/index.js';
+import * as metrics from '../metrics/index.js';
+import * as peersService from '../peers/PeersMessage.js';
+import type * as clients from './UpstreamClient.js';
+import * as tables from './UpstreamTable.js';
+import type * as messages from './UpstreamsMessage.js';
+
+const PROBE_INTERVAL_MS = 1000;
+const PROBE_TIMEOUT_MS = 800;
+const REPORT_TIMEOUT_MS = 300;
+const MAX_TRIES = 3;
+const HTTP_OK = 200;
+const RANDOM_RANGE = 2 ** 32;
+
+const loadSchema = zod.object({
+  busyCount: zod.number().min(0),
+  status: zod.enum(['active', 'draining']),
+});
+
+/** Chooses upstreams, sends requests to them and knows how they fare. */
+export class UpstreamsTask extends kernel.Task<messages.UpstreamsMessage> {
+  private readonly table: tables.UpstreamTable;
+  private readonly random: pureRand.RandomGenerator;
+  private view: fleetViews.FleetView | undefined;
+  private budget = decisions.FULL_RETRY_BUDGET;
+  private quarantine = decisions.EMPTY_QUARANTINE;
+  private timer: NodeJS.Timeout | undefined;
+
+  /** @param seed Seeds the choices. */
+  constructor(place: tables.Place, seed: number) {
+    super();
+    this.table = new tables.UpstreamTable(place);
+    this.random = pureRand.xoroshiro128plus(seed);
+  }
+
+  protected override async onStart(): Promise<void> {
+    const {services} = this.getContext();
+    const subscriber = this.getAddress();
+    services
+      .getOrThrow(configurationService.CONFIGURATION)
+      .post({kind: 'subscribe', subscriber});
+    services
+      .getOrThrow(fleetService.FLEET)
+      .post({kind: 'subscribe', subscriber});
+    this.timer = setInterval(
+      () => this.getAddress().post({kind: 'tick'}),
+      PROBE_INTERVAL_MS,
+    );
+  }
+
+  protected override async onStop(): Promise<void> {
+    clearInterval(this.timer);
+    await this.table.close();
+  }
+
+  protected override receive(message: messages.UpstreamsMessage): void {
+    switch (message.kind) {
+      case 'configurationChanged':
+        this.table.update(
+          message.configuration.document.upstreams,
+          this.nowMs(),
+        );
+        this.probeAll();
+        return;
+      case 'fleetChanged':
+        this.view = message.view;
+        return;
+      case 'dispatch':
+        void this.dispatch(message.dispatch).then(message.reply);
+        return;
+      case 'peerRequest':
+        this.addBreak(message.request);
+        message.reply({kind: 'done'});
+        return;
+      case 'tick':
+        this.probeAll();
+        return;
+      default:
+        errors.throwUnreachable(message);
+    }
+  }
+
+  private async dispatch(
+    dispatch: messages.DispatchRequest,
+  ): Promise<messages.DispatchResult> {
+    this.budget = decisions.addAttempt(this.budget);
+    const triedIds: string[] = [];
+    let failure: messages.DispatchResult | undefined;
+    for (let tries = 0; tries < MAX_TRIES; tries += 1) {
+      if (this.isQuarantined(dispatch)) return getQuarantineResult();
+      if (tries > 0 && !this.takeRetry()) break;
+      const choice = this.choose(dispatch.serviceId, triedIds);
+      if (choice.kind !== 'chosen') return failure ?? getNoChoiceResult(choice);
+      triedIds.push(choice.upstreamId);
+      const result = await this.send(dispatch, choice.upstreamId);
+      const step = await this.decideStep(dispatch, choice.upstreamId, result);
+      if (step.kind === 'done') return step.result;
+      failure = getWorse(failure, step.failure);
+    }
+    return failure ?? getNoChoiceResult({kind: 'none'});
+  }
+
+  private choose(
+    serviceId: string,
+    triedIds: readonly string[],
+  ): decisions.UpstreamChoice {
+    const input: decisions.ChoiceInput = {
+      triedIds,
+      chooserCount: this.view?.servingVms.length ?? 1,
+      randomA: this.getRandom(),
+      randomB: this.getRandom(),
+    };
+    const views = this.table.getViews(serviceId);
+    return decisions.chooseUpstream(views, input, this.nowMs());
+  }
+
+  private async send(
+    dispatch: messages.DispatchRequest,
+    upstreamId: string,
+  ): Promise<clients.SendResult> {
+    const entry = this.table.get(upstreamId);
+    if (entry === undefined) return {kind: 'notSent'};
+    const {request, organisationId, deadlineMs, abandoned} = dispatch;
+    const remainingMs = deadlineMs - this.getContext().clock.wallMs();
+    const startedAtMs = this.nowMs();
+    this.table.addInFlight(upstreamId, 1);
+    const result = await entry.client.send({
+      request,
+      organisationId,
+      deadlineMs,
+      remainingMs,
+      abandoned,
+    });
+    this.table.addInFlight(upstreamId, -1);
+    const valueMs = this.nowMs() - startedAtMs;
+    this.getContext()
+      .services.getOrThrow(metrics.METRICS)
+      .post({kind: 'observe', name: 'upstream_ms', valueMs});
+    return result;
+  }
+
+  /** Notes how a try ended and decides whether another one may follow. */
+  private async decideStep(
+    dispatch: messages.DispatchRequest,
+    upstreamId: string,
+    result: clients.SendResult,
+  ): Promise<Step> {
+    switch (result.kind) {
+      case 'answered':
+        this.table.addSuccess(upstreamId, this.nowMs());
+        this.clearSuspicion(dispatch);
+        return {kind: 'done', result};
+      case 'shed':
+        this.table.addShed(upstreamId, this.nowMs());
+        return retry('notRun', 'upstreamShed', 'the upstreams shed load');
+      case 'notSent':
+        this.avoid(upstreamId, result.kind);
+        return retry('notRun', 'noUpstream', 'no upstream could be reached');
+      case 'broken':
+        this.avoid(upstreamId, result.kind);
+        await this.reportBreak(dispatch, upstreamId);
+        return getBrokenStep(dispatch);
+      case 'timedOut':
+        return finish('deadlineExceeded', 'no answer came in time');
+      case 'abandoned':
+        return finish('upstreamFailed', 'the caller left');
+      default:
+        return errors.throwUnreachable(result);
+    }
+  }
+
+  private avoid(upstreamId: string, reason: string): void {
+    this.table.addFailure(upstreamId, this.nowMs());
+    this.log('upstreamAvoided', {upstream: upstreamId, reason});
+  }
+
+  private takeRetry(): boolean {
+    if (!decisions.isRetryAllowed(this.budget)) return false;
+    this.budget = decisions.addRetry(this.budget);
+    this.count('upstream_retries');
+    return true;
+  }
+
+  private isQuarantined(dispatch: messages.DispatchRequest): boolean {
+    if (this.quarantine.size === 0) return false;
+    const digest = getDigestHex(dispatch);
+    const nowMs = this.getContext().clock.wallMs();
+    return decisions.isQuarantined(this.quarantine, digest, nowMs);
+  }
+
+  private clearSuspicion(dispatch: messages.DispatchRequest): void {
+    if (this.quarantine.size === 0) return;
+    this.quarantine = decisions.removeSuspicion(
+      this.quarantine,
+      getDigestHex(dispatch),
+    );
+  }
+
+  private addBreak(
+    report: Extract<peers.PeerRequest, {kind: 'reportBreak'}>,
+  ): void {
+    this.quarantine = decisions.addBreak(
+      this.quarantine,
+      report.requestDigestHex,
+      report.upstreamId,
+      this.getContext().clock.wallMs(),
+    );
+  }
+
+  /** Tells the whole fleet of a request that broke an upstream, before it can be tried again. */
+  private async reportBreak(
+    dispatch: messages.DispatchRequest,
+    upstreamId: string,
+  ): Promise<void> {
+    const requestDigestHex = getDigestHex(dispatch);
+    const request = {
+      kind: 'reportBreak',
+      requestDigestHex,
+      upstreamId,
+    } as const;
+    this.addBreak(request);
+    this.count('upstream_breaks');
+    this.log('requestSuspected', {
+      upstream: upstreamId,
+      digest: requestDigestHex,
+    });
+    const peersAddresses = (this.view?.servingVms ?? [])
+      .filter(vm => vm.processId !== this.view?.self.processId)
+      .map(vm => vm.peersAddress);
+    const {services} = this.getContext();
+    const deadlineMs = this.nowMs() + REPORT_TIMEOUT_MS;
+    await Promise.all(
+      peersAddresses.map(peersAddress =>
+        services
+          .getOrThrow(peersService.PEERS)
+          .ask<peersService.CallResult>(reply => ({
+            kind: 'call',
+            peersAddress,
+            request,
+            deadlineMs,
+            reply,
+          })),
+      ),
+    );
+  }
+
+  private probeAll(): void {
+    for (const upstreamId of this.table.getIds()) void this.probe(upstreamId);
+  }
+
+  private async probe(upstreamId: string): Promise<void> {
+    const entry = this.table.get(upstreamId);
+    if (entry === undefined) return;
+    const askedAtMs = this.nowMs();
+    const {ownInFlightCount} = entry.view;
+    const result = await entry.client.send(
+      getProbe(this.getContext().clock.wallMs() + PROBE_TIMEOUT_MS),
+    );
+    if (result.kind === 'notSent') {
+      this.table.addFailure(upstreamId, this.nowMs());
+      return;
+    }
+    if (result.kind !== 'answered') return;
+    if (entry.view.avoidUntilMs <= askedAtMs)
+      this.table.addSuccess(upstreamId, this.nowMs());
+    const load = decodeLoad(result.answer);
+    if (load === undefined) return;
+    this.table.setReport(
+      upstreamId,
+      {busyCount: load.busyCount, ownInFlightCount, askedAtMs},
+      load.status === 'draining',
+    );
+  }
+
+  private getRandom(): number {
+    const value = pureRand.unsafeUniformIntDistribution(
+      0,
+      RANDOM_RANGE - 1,
+      this.random,
+    );
+    return value / RANDOM_RANGE;
+  }
+
+  private nowMs(): number {
+    return this.getContext().clock.monotonicMs();
+  }
+
+  private count(name: metrics.CounterName): void {
+    const {services} = this.getContext();
+    services.getOrThrow(metrics.METRICS).post({kind: 'count', name});
+  }
+
+  private log(name: logs.EventName, fields: logs.LogFields): void {
+    this.getContext()
+      .services.getOrThrow(logs.LOG)
+      .post({kind: 'event', level: 'warn', name, fields});
+  }
+}
+
+/** What follows a try. */
+type Step =
+  | {readonly kind: 'done'; readonly result: messages.DispatchResult}
+  | {readonly kind: 'retry'; readonly failure: messages.DispatchResult};
+
+function retry(
+  kind: 'notRun' | 'mayHaveRun',
+  error: errors.ErrorKind,
+  message: string,
+): Step {
+  return {kind: 'retry', failure: {kind, error, message}};
+}
+
+function finish(error: errors.ErrorKind, message: string): Step {
+  return {kind: 'done', result: {kind: 'mayHaveRun', error, message}};
+}
+
+function getBrokenStep(dispatch: messages.DispatchRequest): Step {
+  const message = 'the upstream broke off while it had the request';
+  return dispatch.isIdempotent
+    ? retry('mayHaveRun', 'upstreamFailed', message)
+    : finish('upstreamFailed', message);
+}
+
+/** A failure after which the request may have run outweighs one after which it has not. */
+function getWorse(
+  known: messages.DispatchResult | undefined,
+  next: messages.DispatchResult,
+): messages.DispatchResult {
+  return known?.kind === 'mayHaveRun' ? known : next;
+}
+
+function getNoChoiceResult(
+  choice: Exclude<decisions.UpstreamChoice, {kind: 'chosen'}>,
+): messages.DispatchResult {
+  switch (choice.kind) {
+    case 'none':
+      return {
+        kind: 'notRun',
+        error: 'noUpstream',
+        message: 'no upstream takes work',
+      };
+    case 'full':
+      return {
+        kind: 'notRun',
+        error: 'upstreamShed',
+        message: 'the upstreams are full',
+      };
+    default:
+      return errors.throwUnreachable(choice);
+  }
+}
+
+function getQuarantineResult(): messages.DispatchResult {
+  return {
+    kind: 'mayHaveRun',
+    error: 'requestQuarantined',
+    message: 'the request broke two upstreams and is not sent again',
+  };
+}
+
+function getDigestHex(dispatch: messages.DispatchRequest): string {
+  return codecs.getRequestDigestHex(dispatch.request, dispatch.organisationId);
+}
+
+function getProbe(deadlineMs: number): clients.Sending {
+  return {
+    request: {
+      requestId: 'probe',
+      method: 'GET',
+      target: '/load',
+      headers: [],
+      body: new Uint8Array(),
+      key: '',
+      idempotencyKey: '',
+    },
+    organisationId: '',
+    deadlineMs,
+    remainingMs: PROBE_TIMEOUT_MS,
+    abandoned: new AbortController().signal,
+  };
+}
+
+function decodeLoad(
+  answer: Extract<clients.SendResult, {kind: 'answered'}>['answer'],
+): zod.infer<typeof loadSchema> | undefined {
+  if (answer.httpStatus !== HTTP_OK || answer.body.kind !== 'whole')
+    return undefined;
+  try {
+    const text = Buffer.from(answer.body.bytes).toString('utf8');
+    return loadSchema.parse(JSON.parse(text));
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/src/services/upstreams/index.ts
@@ -0,0 +1,2 @@
+export * from './UpstreamsMessage.js';
+export * from './UpstreamsTask.js';
