--- /dev/null
+++ b/bin/bramleyrun.js
@@ -0,0 +1,4 @@
+#!/usr/bin/env node
+import * as oclif from '@oclif/core';
+
+await oclif.execute({dir: import.meta.url});
--- a/src/codecs/configuration/applyPatch.ts
+++ b/src/codecs/configuration/applyPatch.ts
@@ -1,5 +1,5 @@
-import * as jsonPatch from 'fast-json-patch';
 import * as mergePatch from 'json-merge-patch';
+import * as jsonPatch from 'rfc6902';
 import * as model from '../../model/configuration/index.js';
 import * as errors from '../../model/errors/index.js';
 import * as schemas from '../schemas/index.js';
@@ -51,16 +51,27 @@
   operations: readonly object[],
 ): unknown {
   const copies = structuredClone(operations) as jsonPatch.Operation[];
-  try {
-    return jsonPatch.applyPatch(document, copies, true, false).newDocument;
-  } catch (thrown) {
-    if (!(thrown instanceof jsonPatch.JsonPatchError)) throw thrown;
-    const summary = thrown.message.split('\n')[0];
-    return errors.throwError(
+  const results = getResultsOrThrow(document, copies);
+  results.forEach((result, index) => {
+    if (result === null) return;
+    errors.throwError(
       'invalidConfiguration',
-      `operation ${thrown.index ?? 0}: ${summary}`,
-      `operations.${thrown.index ?? 0}`,
+      `operation ${index}: ${result.name}: ${result.message}`,
+      `operations.${index}`,
     );
+  });
+  return document;
+}
+
+function getResultsOrThrow(
+  document: object,
+  operations: jsonPatch.Operation[],
+): readonly (Error | null)[] {
+  try {
+    return jsonPatch.applyPatch(document, operations);
+  } catch (thrown) {
+    const {message} = errors.toError(thrown);
+    return errors.throwError('invalidConfiguration', message, 'operations');
   }
 }
 
--- /dev/null
+++ b/src/programs/cli/commands/Explain.ts
@@ -0,0 +1,31 @@
+import * as oclif from '@oclif/core';
+import type * as services from '../../../services/callers/index.js';
+import * as operatorCommands from '../OperatorCommand.js';
+
+/** Shows why an organisation's last requests were refused at the asked VM. */
+export class Explain extends operatorCommands.OperatorCommand {
+  static override summary =
+    "Shows why an organisation's last requests were refused at the asked VM.";
+  static override examples = ['<%= config.bin %> explain rustavi'];
+  static override args = {
+    organisation: oclif.Args.string({required: true}),
+  };
+
+  /** Runs the command. */
+  async run(): Promise<readonly services.Refusal[]> {
+    const {args} = await this.parse(Explain);
+    const client = this.getClient();
+    const refusals = await client.askOrThrow<readonly services.Refusal[]>({
+      kind: 'explain',
+      organisationId: args.organisation,
+    });
+    for (const refusal of refusals)
+      this.logPairs({
+        at: new Date(refusal.refusedAtMs).toISOString(),
+        error: refusal.error,
+        message: refusal.message,
+        request: refusal.requestId,
+      });
+    return refusals;
+  }
+}
--- /dev/null
+++ b/src/programs/cli/commands/drain/DrainCancel.ts
@@ -0,0 +1,16 @@
+import * as oclif from '@oclif/core';
+import * as changeCommands from '../../ChangeCommand.js';
+
+/** Cancels a planned move; the callers go back as their steering answers expire. */
+export class DrainCancel extends changeCommands.ChangeCommand {
+  static override summary = 'Cancels a planned move of callers.';
+  static override examples = ['<%= config.bin %> drain cancel night-works'];
+  static override args = {drain: oclif.Args.string({required: true})};
+  static override flags = changeCommands.CHANGE_FLAGS;
+
+  /** Runs the command. */
+  async run(): Promise<object> {
+    const {args, flags} = await this.parse(DrainCancel);
+    return await this.merge({shifts: {[args.drain]: null}}, flags);
+  }
+}
--- /dev/null
+++ b/src/programs/cli/commands/key/KeyCreate.ts
@@ -0,0 +1,34 @@
+import * as crypto from 'node:crypto';
+import * as oclif from '@oclif/core';
+import * as codecs from '../../../../codecs/http/index.js';
+import * as changeCommands from '../../ChangeCommand.js';
+
+const KEY_BYTES = 32;
+
+/** Grants a new key. */
+export class KeyCreate extends changeCommands.ChangeCommand {
+  static override summary =
+    'Grants a new key and shows it once; only its digest is kept.';
+  static override examples = [
+    '<%= config.bin %> key create k7 --organisation rustavi',
+  ];
+  static override args = {key: oclif.Args.string({required: true})};
+  static override flags = {
+    ...changeCommands.CHANGE_FLAGS,
+    organisation: oclif.Flags.string({required: true}),
+  };
+
+  /** Runs the command. */
+  async run(): Promise<object> {
+    const {args, flags} = await this.parse(KeyCreate);
+    const key = crypto.randomBytes(KEY_BYTES).toString('base64url');
+    const entry = {
+      organisationId: flags.organisation,
+      digestSha256Hex: codecs.getTextDigestHex(key),
+      status: 'granted',
+    };
+    const result = await this.merge({keys: {[args.key]: entry}}, flags);
+    this.logPairs({key});
+    return {...result, key};
+  }
+}
