--- a/standins/deployment/Deployment.ts
+++ b/standins/deployment/Deployment.ts
@@ -6,6 +6,7 @@
 import * as jsonRpc from 'json-rpc-2.0';
 import * as undici from 'undici';
 import type * as configurations from '../../src/model/configuration/index.js';
+import type * as platform from '../../src/model/platform/index.js';
 import type * as daemons from '../../src/programs/daemon/Daemon.js';
 import * as processes from '../processes/ManagedProcess.js';
 import * as proxies from '../proxy/FaultProxy.js';
@@ -208,6 +209,28 @@
     await this.post(`http://${this.platformAddress}/control`, faults);
   }
 
+  /** Gets how many calls the platform holds without an answer. */
+  async getHeldCount(): Promise<number> {
+    const address = `http://${this.platformAddress}/control`;
+    const {heldCount} = (await (await fetch(address)).json()) as {
+      readonly heldCount: number;
+    };
+    return heldCount;
+  }
+
+  /** Gets the rows of the platform's table whose keys begin with a prefix, past every fault. */
+  async readRows(prefix: string): Promise<readonly platform.TableRow[]> {
+    const response = await undici.request(
+      `http://${this.platformAddress}/control/rows?prefix=${encodeURIComponent(prefix)}`,
+    );
+    return (await response.body.json()) as readonly platform.TableRow[];
+  }
+
+  /** Sets what every upstream's connections suffer. */
+  setUpstreamFaults(fault: proxies.ProxyFault): void {
+    for (const upstream of this.getUpstreams()) upstream.proxy.setFault(fault);
+  }
+
   /** Replaces the platform's list of live VMs. */
   async listVms(vmIds: readonly string[]): Promise<void> {
     const vms = vmIds.map(vmId => ({vmId, status: 'live'}));
