--- /dev/null
+++ b/demo/Visitor.ts
@@ -0,0 +1,99 @@
+import * as crypto from 'node:crypto';
+import type * as decisions from '../src/decisions/index.js';
+import type * as deployments from '../standins/deployment/Deployment.js';
+import * as deploymentPlans from '../standins/deployment/DeploymentPlan.js';
+
+const THINK_MS = 25;
+const FIRST_CLIENT_NET = 30;
+
+/** What a caller's request came to, by the caller's own word. */
+export type Outcome =
+  | {
+      readonly kind: 'served';
+      readonly requestId: string;
+      readonly elapsedMs: number;
+    }
+  /** The answer says that it was not run. */
+  | {readonly kind: 'notRun'; readonly requestId: string}
+  | {readonly kind: 'failed'; readonly text: string};
+
+/** One caller: asks which VM to use, keeps the answer until it expires, and sends requests. */
+export class Visitor {
+  private readonly deployment: deployments.Deployment;
+  private readonly organisationId: string;
+  private readonly address: string;
+  private steering: decisions.SteeringAnswer = {choices: [], expiresAtMs: 0};
+  private requestCount = 0;
+
+  constructor(
+    deployment: deployments.Deployment,
+    organisationId: string,
+    index: number,
+  ) {
+    this.deployment = deployment;
+    this.organisationId = organisationId;
+    this.address = `10.${FIRST_CLIENT_NET + (index % 3)}.0.${index}`;
+  }
+
+  /** Sends one request after another until `endMs`. */
+  async run(endMs: number): Promise<readonly Outcome[]> {
+    const outcomes: Outcome[] = [];
+    while (performance.now() < endMs) {
+      outcomes.push(await this.visit());
+      await new Promise(resolve => setTimeout(resolve, THINK_MS));
+    }
+    return outcomes;
+  }
+
+  private async visit(): Promise<Outcome> {
+    this.requestCount += 1;
+    const vmId = await this.getVmId();
+    const startedAtMs = performance.now();
+    const answer = await this.send(vmId);
+    const elapsedMs = performance.now() - startedAtMs;
+    const requestId = answer.headers['x-bramleyrun-request-id'];
+    if (answer.httpStatus === 200)
+      return {kind: 'served', requestId, elapsedMs};
+    if (answer.headers['x-bramleyrun-not-run'] === 'true')
+      return {kind: 'notRun', requestId};
+    return {kind: 'failed', text: answer.text};
+  }
+
+  private async send(vmId: string): Promise<deployments.CallerAnswer> {
+    const key = deploymentPlans.getKey(this.organisationId);
+    const number = this.requestCount;
+    switch (number % 4) {
+      case 0:
+        return await this.deployment.request(vmId, `/doors/${number}`, {
+          key,
+          method: 'POST',
+          body: 'open',
+          idempotencyKey: crypto.randomUUID(),
+        });
+      case 1:
+        return await this.deployment.request(vmId, `/reservations/${number}`, {
+          key,
+          method: 'POST',
+          body: 'reserve',
+          idempotencyKey: crypto.randomUUID(),
+        });
+      default:
+        return await this.deployment.request(vmId, `/keys/${number}`, {key});
+    }
+  }
+
+  private async getVmId(): Promise<string> {
+    if (this.steering.expiresAtMs <= Date.now()) await this.ask();
+    return this.steering.choices[0].vmId;
+  }
+
+  private async ask(): Promise<void> {
+    const [{plan}] = this.deployment.getVms();
+    const {text} = await this.deployment.request(
+      plan.vmId,
+      `/-/steer?address=${this.address}`,
+      {key: deploymentPlans.getKey(this.organisationId)},
+    );
+    this.steering = JSON.parse(text) as decisions.SteeringAnswer;
+  }
+}
--- a/src/decisions/steering/decideSteering.ts
+++ b/src/decisions/steering/decideSteering.ts
@@ -3,6 +3,9 @@
 /** How long in milliseconds callers may keep an answer. */
 export const STEERING_TERM_MS = 3000;
 
+/** The most VMs that an answer names. */
+const MAX_CHOICES = 8;
+
 /** What the order of the VMs depends on. */
 export interface SteeringQuestion {
   /** VMs that are alive and not stopping, as seen from here. */
@@ -60,7 +63,10 @@
       getChoice(vm, 'otherRegion'),
     ),
   ];
-  return {choices, expiresAtMs: nowMs + STEERING_TERM_MS};
+  return {
+    choices: choices.slice(0, MAX_CHOICES),
+    expiresAtMs: nowMs + STEERING_TERM_MS,
+  };
 }
 
 function getChoice(
--- a/standins/deployment/Deployment.ts
+++ b/standins/deployment/Deployment.ts
@@ -328,6 +328,14 @@
     }
   }
 
+  /** Lets VMs reach an upstream without the proxy before it. */
+  async bypassUpstreamProxy(upstreamId: string): Promise<void> {
+    const {address} = this.getUpstreamOrThrow(upstreamId);
+    const [host, port] = address.split(':');
+    const upstreams = {[upstreamId]: {host, port: Number(port)}};
+    await this.patch(this.getVms()[0].plan.vmId, {upstreams});
+  }
+
   /** Waits until every running VM answers that a version is in force. */
   async waitForVersion(version: number): Promise<void> {
     await waitFor(async () => {
@@ -369,6 +377,7 @@
       UPSTREAM_ID: plan.upstreamId,
       SLOTS: String(plan.slotCount),
       SERVICE_MS: String(plan.serviceMs),
+      RECORDS: plan.isRecording === false ? 'off' : 'on',
     });
     const {address} = await process.getFirstLineOrThrow<{
       readonly address: string;
--- a/standins/deployment/DeploymentPlan.ts
+++ b/standins/deployment/DeploymentPlan.ts
@@ -15,6 +15,9 @@
   readonly failureDomain: string;
   readonly slotCount: number;
   readonly serviceMs: number;
+
+  /** Whether it prints what it runs; true unless given. */
+  readonly isRecording?: boolean;
 }
 
 /** Everything that a deployment starts. */
--- a/standins/upstream/main.ts
+++ b/standins/upstream/main.ts
@@ -25,6 +25,7 @@
 const serviceMs = Number(process.env['SERVICE_MS'] ?? 5);
 const maxQueue = Number(process.env['MAX_QUEUE'] ?? slotCount * 2);
 const coldMs = Number(process.env['COLD_MS'] ?? 0);
+const isRecording = process.env['RECORDS'] !== 'off';
 const startedAtMs = Date.now();
 const queue: Work[] = [];
 let busyCount = 0;
@@ -52,6 +53,7 @@
 }
 
 function record(work: Work, run: RunRecord['run']): void {
+  if (!isRecording) return;
   const {request, body} = work;
   const line: RunRecord = {
     run,
