--- a/src/services/callers/RequestFlow.ts
+++ b/src/services/callers/RequestFlow.ts
@@ -5,6 +5,7 @@
 import type * as operations from '../../model/operations/index.js';
 import type * as requests from '../../model/requests/index.js';
 import * as limitsService from '../limits/LimitsMessage.js';
+import * as logs from '../logs/index.js';
 import * as operationsService from '../operations/OperationsMessage.js';
 import * as upstreamsService from '../upstreams/UpstreamsMessage.js';
 
@@ -74,6 +75,7 @@
       }));
     switch (result.kind) {
       case 'granted':
+        this.logAdmission(organisationId);
         return undefined;
       case 'refused': {
         const waitMs = Math.max(0, result.retryAtMs - clock.monotonicMs());
@@ -94,6 +96,16 @@
     }
   }
 
+  private logAdmission(organisationId: string): void {
+    const {clock, services} = this.context;
+    services.getOrThrow(logs.LOG).post({
+      kind: 'event',
+      level: 'debug',
+      name: 'requestAdmitted',
+      fields: {organisation: organisationId, atMs: clock.wallMs()},
+    });
+  }
+
   private async runIdempotent(
     granted: GrantedRequest,
     deadlineMs: number,
--- a/src/services/fleet/FleetTask.ts
+++ b/src/services/fleet/FleetTask.ts
@@ -73,9 +73,7 @@
         .ask<string>(reply => ({kind: 'getAddress', reply})));
     this.self = {...this.options.identity, callersAddress, peersAddress};
     this.postEvery(HEARTBEAT_INTERVAL_MS, {kind: 'tick'});
-    services
-      .getOrThrow(configurationService.CONFIGURATION)
-      .post({kind: 'poll'});
+    this.pollTable();
   }
 
   protected override async onStop(): Promise<void> {
@@ -213,15 +211,34 @@
       nowMs,
     );
     this.isRegistering = false;
-    if (result.kind === 'failed') return;
-    if (result.kind === 'slot') {
-      this.tenure = {...result.tenure, takenAtMs: this.nowMs()};
-      this.log('info', 'slotTaken', {
-        slot: this.tenure.slotIndex,
-        history: this.tenure.history,
-      });
+    switch (result.kind) {
+      case 'failed':
+        return;
+      case 'raced':
+        this.pollTable();
+        return;
+      case 'standby':
+        this.setMap(result.map);
+        return;
+      case 'slot':
+        this.noteTenure(result.tenure);
+        this.setMap(result.map);
+        return;
+      default:
+        errors.throwUnreachable(result);
     }
-    this.setMap(result.map);
+  }
+
+  private noteTenure(tenure: Omit<decisions.SlotTenure, 'takenAtMs'>): void {
+    this.tenure = {...tenure, takenAtMs: this.nowMs()};
+    const {slotIndex, history} = tenure;
+    this.log('info', 'slotTaken', {slot: slotIndex, history});
+  }
+
+  private pollTable(): void {
+    this.getContext()
+      .services.getOrThrow(configurationService.CONFIGURATION)
+      .post({kind: 'poll'});
   }
 
   private sendHeartbeats(): void {
--- a/src/services/fleet/SlotRegistration.ts
+++ b/src/services/fleet/SlotRegistration.ts
@@ -19,6 +19,8 @@
       readonly tenure: Omit<decisions.SlotTenure, 'takenAtMs'>;
     }
   | {readonly kind: 'standby'; readonly map: fleet.FleetMap}
+  /** Another process changed the map at the same time. */
+  | {readonly kind: 'raced'}
   /** The caller tries again after its next read. */
   | {readonly kind: 'failed'};
 
@@ -77,7 +79,7 @@
   );
   const standbys = withoutVm(map.standbys, self);
   const written = await settleWrite(services, map, {slots, standbys}, self);
-  if (written === undefined) return {kind: 'failed'};
+  if (isLost(written)) return written;
   if (fleet.getSlotIndex(written, self.processId) !== slotIndex)
     return {kind: 'failed'};
   return getSlotResult(written, slotIndex, history);
@@ -106,9 +108,15 @@
   const standbys = [...withoutVm(map.standbys, self), self];
   const row = {slots: map.slots, standbys};
   const written = await settleWrite(services, map, row, self);
-  return written === undefined
-    ? {kind: 'failed'}
-    : {kind: 'standby', map: written};
+  if (isLost(written)) return written;
+  return {kind: 'standby', map: written};
+}
+
+/** A write of the map that did not take effect. */
+type LostWrite = Extract<RegistrationResult, {kind: 'raced' | 'failed'}>;
+
+function isLost(written: fleet.FleetMap | LostWrite): written is LostWrite {
+  return 'kind' in written;
 }
 
 /** Writes the map; when the answer is lost, reads back whether the write took effect. */
@@ -117,18 +125,19 @@
   map: fleet.FleetMap,
   row: codecs.FleetRow,
   self: fleet.VmRecord,
-): Promise<fleet.FleetMap | undefined> {
+): Promise<fleet.FleetMap | LostWrite> {
   const result = await writeMap(services, map.version, row);
   switch (result.kind) {
     case 'committed':
       return {version: result.version, ...row};
     case 'conflict':
+      return {kind: 'raced'};
     case 'unavailable':
-      return undefined;
+      return {kind: 'failed'};
     case 'outcomeUnknown': {
       const read = await readMap(services);
       const isIn = read && fleet.getVms(read).some(vm => isProcess(vm, self));
-      return isIn ? read : undefined;
+      return isIn ? read : {kind: 'failed'};
     }
   }
 }
--- a/src/services/logs/EventName.ts
+++ b/src/services/logs/EventName.ts
@@ -16,6 +16,7 @@
   | 'outcomeStored'
   | 'upstreamAvoided'
   | 'requestSuspected'
+  | 'requestAdmitted'
   | 'requestRefused'
   | 'platformFailed'
   | 'taskFailed';
