--- /dev/null
+++ b/test/codecs/settings/parseSettings.test.ts
@@ -0,0 +1,45 @@
+import * as fs from 'node:fs';
+import * as test from 'node:test';
+import * as earl from 'earl';
+import * as codecs from '../../../src/codecs/index.js';
+import * as errors from '../../../src/model/errors/index.js';
+
+const EXAMPLE = fs.readFileSync('examples/single.toml', 'utf8');
+
+function getError(text: string): errors.BramleyrunError {
+  try {
+    codecs.parseSettings(text);
+  } catch (thrown) {
+    return errors.toError(thrown);
+  }
+  throw new Error('the settings were taken');
+}
+
+test.describe('parseSettings', () => {
+  test.it('takes every example', () => {
+    for (const folder of ['examples/miftah', 'examples/guild'])
+      for (const file of fs.readdirSync(folder))
+        if (file.endsWith('.toml'))
+          codecs.parseSettings(fs.readFileSync(`${folder}/${file}`, 'utf8'));
+    const {vm} = codecs.parseSettings(EXAMPLE);
+    earl.expect(vm.vmId).toEqual('local-1');
+  });
+
+  test.it('names an unknown field', () => {
+    const error = getError(EXAMPLE.replace('[vm]', '[vm]\nzone = "x"'));
+    earl.expect(error.kind).toEqual('invalidSettings');
+    earl.expect(error.fieldPath).toEqual('vm.zone');
+  });
+
+  test.it('names a wrong field', () => {
+    const wrong = EXAMPLE.replace('slotCount = 1', 'slotCount = 0');
+    earl.expect(getError(wrong).fieldPath).toEqual('fleet.slotCount');
+    const port = EXAMPLE.replace('127.0.0.1:8081', '127.0.0.1:99999');
+    earl.expect(getError(port).fieldPath).toEqual('listeners.operators');
+  });
+
+  test.it('names the line of text that is not TOML', () => {
+    const error = getError('a = 1\nb = = 2\n');
+    earl.expect(error.message.startsWith('line 2')).toEqual(true);
+  });
+});
--- /dev/null
+++ b/test/decisions/upstreams/chooseUpstream.test.ts
@@ -0,0 +1,122 @@
+import * as test from 'node:test';
+import * as earl from 'earl';
+import * as fastCheck from 'fast-check';
+import * as decisions from '../../../src/decisions/index.js';
+
+const SEED = 20261204;
+
+function getView(
+  upstreamId: string,
+  change: Partial<decisions.UpstreamView> = {},
+): decisions.UpstreamView {
+  return {
+    upstreamId,
+    region: 'amman',
+    distance: 'sameDomain',
+    slotCount: 7,
+    ownInFlightCount: 0,
+    report: undefined,
+    avoidUntilMs: -Infinity,
+    warmingSinceMs: -Infinity,
+    ...change,
+  };
+}
+
+function getInput(
+  change: Partial<decisions.ChoiceInput> = {},
+): decisions.ChoiceInput {
+  return {triedIds: [], chooserCount: 1, randomA: 0, randomB: 0.99, ...change};
+}
+
+function choose(
+  views: readonly decisions.UpstreamView[],
+  nowMs = 0,
+  change: Partial<decisions.ChoiceInput> = {},
+): string {
+  const choice = decisions.chooseUpstream(views, getInput(change), nowMs);
+  return choice.kind === 'chosen' ? choice.upstreamId : choice.kind;
+}
+
+test.describe('chooseUpstream', () => {
+  test.it('takes the less loaded of two near ones', () => {
+    const views = [getView('a', {ownInFlightCount: 3}), getView('b')];
+    earl.expect(choose(views)).toEqual('b');
+  });
+
+  test.it('goes farther only when near ones are full', () => {
+    const far = getView('far', {distance: 'sameRegion'});
+    earl.expect(choose([getView('near'), far])).toEqual('near');
+    const full = getView('near', {ownInFlightCount: 7});
+    earl.expect(choose([full, far])).toEqual('far');
+  });
+
+  test.it('leaves out those that failed or were tried', () => {
+    const views = [getView('a', {avoidUntilMs: 100}), getView('b')];
+    earl.expect(choose(views, 50)).toEqual('b');
+    earl.expect(choose(views, 50, {triedIds: ['b']})).toEqual('none');
+    earl.expect(choose(views, 100, {triedIds: ['b']})).toEqual('a');
+  });
+
+  test.it('believes a report less as it ages', () => {
+    const report = {busyCount: 6, ownInFlightCount: 0, askedAtMs: 0};
+    const views = [getView('a', {report}), getView('b', {ownInFlightCount: 2})];
+    earl.expect(choose(views, 100)).toEqual('b');
+    earl.expect(choose(views, 2900)).toEqual('a');
+  });
+
+  test.it('gives a cold upstream a part of its slots', () => {
+    const cold = getView('cold', {warmingSinceMs: 0, ownInFlightCount: 3});
+    earl.expect(decisions.getUtilisation(cold, 0)).toBeGreaterThan(1);
+    earl.expect(decisions.getUtilisation(cold, 4000)).toBeLessThan(1);
+  });
+
+  test.it('together, VMs that spill never fill another region over 0.8', () => {
+    fastCheck.assert(
+      fastCheck.property(
+        fastCheck.integer({min: 1, max: 7}),
+        fastCheck.integer({min: 1, max: 24}),
+        fastCheck.integer({min: 0, max: 7}),
+        (vmCount, upstreamCount, busyCount) => {
+          let sentCount = 0;
+          for (let vm = 0; vm < vmCount; vm += 1)
+            sentCount += spill(vmCount, upstreamCount, busyCount);
+          const slotCount = upstreamCount * 7;
+          const taken = busyCount * upstreamCount + sentCount;
+          const before = busyCount * upstreamCount;
+          const limit = Math.max(before, 0.8 * slotCount);
+          return taken <= limit + vmCount;
+        },
+      ),
+      {seed: SEED, numRuns: 500},
+    );
+  });
+});
+
+/** Sends as much as one VM may into another region whose reports stand still. */
+function spill(
+  vmCount: number,
+  upstreamCount: number,
+  busyCount: number,
+): number {
+  const report = {busyCount, ownInFlightCount: 0, askedAtMs: 0};
+  const own = new Map<string, number>();
+  let sentCount = 0;
+  for (;;) {
+    const views = Array.from({length: upstreamCount}, (_, index) =>
+      getView(String(index), {
+        distance: 'otherRegion',
+        report,
+        ownInFlightCount: own.get(String(index)) ?? 0,
+      }),
+    );
+    const random = (sentCount * 0.618) % 1;
+    const chosen = choose(views, 0, {
+      chooserCount: vmCount,
+      randomA: random,
+      randomB: (random + 0.5) % 1,
+    });
+    if (chosen === 'none' || chosen === 'full') return sentCount;
+    own.set(chosen, (own.get(chosen) ?? 0) + 1);
+    sentCount += 1;
+  }
+}
--- /dev/null
+++ b/test/programs/cli.test.ts
@@ -0,0 +1,135 @@
+import * as childProcess from 'node:child_process';
+import * as test from 'node:test';
+import * as earl from 'earl';
+import * as deployments from '../../standins/deployment/Deployment.js';
+import * as plans from '../deployment/plans.js';
+
+interface Output {
+  readonly exitCode: number;
+  readonly text: string;
+}
+
+const deployment = new deployments.Deployment(
+  plans.getPlan({vmCount: 3, upstreamCount: 2}),
+);
+
+function run(
+  args: readonly string[],
+  options: {readonly input?: string; readonly token?: string} = {},
+): Promise<Output> {
+  const {operatorsAddress} = deployment.getVms()[0].addresses;
+  return new Promise(resolve => {
+    const child = childProcess.execFile(
+      process.execPath,
+      ['bin/bramleyrun.js', ...args],
+      {
+        env: {
+          ...process.env,
+          BRAMLEYRUN_DAEMON: operatorsAddress,
+          BRAMLEYRUN_TOKEN: options.token ?? deployments.OPERATOR_TOKEN,
+        },
+      },
+      (error, stdout, stderr) =>
+        resolve({
+          exitCode: error === null ? 0 : Number(error.code),
+          text: stdout + stderr,
+        }),
+    );
+    child.stdin?.end(options.input ?? '');
+  });
+}
+
+test.describe('the command line', {timeout: 300_000}, () => {
+  test.before(async () => {
+    await deployment.start();
+  });
+
+  test.after(async () => {
+    await deployment.stop();
+  });
+
+  test.it('creates an organisation and a key that works at once', async () => {
+    const set = ['organisation', 'set', 'telavi', '--name', 'Telavi'];
+    const created = await run([...set, '--rate', '50', '--burst', '10']);
+    earl.expect(created.exitCode).toEqual(0);
+    const granted = await run([
+      'key',
+      'create',
+      'k1',
+      '--organisation',
+      'telavi',
+      '--json',
+    ]);
+    const {key} = JSON.parse(granted.text) as {readonly key: string};
+    const answer = await deployment.request('vm-1', '/look-up/x', {key});
+    earl.expect(answer.httpStatus).toEqual(200);
+    const shown = await run(['configuration', 'show']);
+    earl.expect(shown.text.includes(key)).toEqual(false);
+    await run(['key', 'withdraw', 'k1']);
+    const refused = await deployment.request('vm-2', '/look-up/x', {key});
+    earl.expect(refused.httpStatus).toEqual(401);
+  });
+
+  test.it('answers a race with the code of a conflict', async () => {
+    const {exitCode, text} = await run([
+      'upstream',
+      'drain',
+      'upstream-0',
+      '--if-version',
+      '1',
+    ]);
+    earl.expect(exitCode).toEqual(73);
+    earl.expect(text.includes('versionConflict')).toEqual(true);
+  });
+
+  test.it('checks a patch from standard input without a change', async () => {
+    const patch = '[{"op":"remove","path":"/upstreams/upstream-1"}]';
+    const checked = await run(['configuration', 'patch', '-', '--dry-run'], {
+      input: patch,
+    });
+    earl.expect(checked.text.includes('status=valid')).toEqual(true);
+    const diff = await run(['configuration', 'diff', '-'], {input: patch});
+    earl.expect(diff.text.includes('/upstreams/upstream-1')).toEqual(true);
+    const wrong = await run(['configuration', 'patch', '-'], {input: '{'});
+    earl.expect(wrong.exitCode).toEqual(65);
+  });
+
+  test.it('lists VMs, status, steering and the audit trail', async () => {
+    const vms = await run(['vm', 'list', '--json']);
+    earl.expect((JSON.parse(vms.text) as object[]).length).toEqual(3);
+    const status = await run(['status']);
+    earl.expect(status.text.includes('answering=3')).toEqual(true);
+    const steer = await run(['steer', '10.0.0.1', '--organisation', 'rustavi']);
+    earl.expect(steer.text.includes('reason=organisationHome')).toEqual(true);
+    const history = await run(['configuration', 'history']);
+    earl.expect(history.text.includes('operator=tester')).toEqual(true);
+  });
+
+  test.it('refuses a wrong token', async () => {
+    const {exitCode} = await run(['status'], {token: 'wrong'});
+    earl.expect(exitCode).toEqual(77);
+  });
+
+  test.it('settles an action whose outcome is unknown', async () => {
+    const key = 'key-of-rustavi-0123456789abcdef';
+    deployment.setUpstreamFaults({kind: 'dropAnswers'});
+    const options = {key, method: 'POST' as const, idempotencyKey: 'i1'};
+    const first = await deployment.request('vm-0', '/doors/1', options);
+    deployment.setUpstreamFaults({kind: 'none'});
+    earl.expect(first.httpStatus).toEqual(504);
+    const digest = deployments.getDigestHex('i1');
+    await deployments.waitFor(async () => {
+      const {text} = await run(['operations', 'list']);
+      return text.includes(`key=${digest} state=unknown`);
+    });
+    const settle = ['operations', 'settle', 'rustavi', digest, '--run'];
+    await deployments.waitFor(async () => (await run(settle)).exitCode === 0);
+    const repeat = await deployment.request('vm-1', '/doors/1', options);
+    earl.expect(repeat.headers['x-bramleyrun-error']).toEqual('outcomeUnknown');
+    const runs = deployment
+      .getRuns()
+      .filter(entry => entry.idempotencyKey === 'i1');
+    const started = runs.filter(entry => entry.run === 'started');
+    earl.expect(started.length).toEqual(1);
+  });
+});
