--- a/src/services/fleet/FleetTask.ts
+++ b/src/services/fleet/FleetTask.ts
@@ -14,7 +14,7 @@
 import * as records from './PeerRecord.js';
 import * as registrations from './SlotRegistration.js';
 
-const HEARTBEAT_INTERVAL_MS = 300;
+const HEARTBEAT_INTERVAL_MS = 500;
 const HEARTBEAT_TIMEOUT_MS = 1000;
 
 /** The part of a VM's record that comes from the settings. */
--- a/src/services/limits/HomeDesk.ts
+++ b/src/services/limits/HomeDesk.ts
@@ -7,7 +7,7 @@
 import type * as homes from './HomeTable.js';
 
 /** How long in milliseconds after a loan was asked for it is renewed. */
-const RENEWAL_MS = 400;
+const RENEWAL_MS = 750;
 
 const CALL_TIMEOUT_MS = 800;
 
