--- /dev/null
+++ b/src/services/base/index.ts
@@ -0,0 +1,1 @@
+export * from './ServiceTask.js';
--- a/src/services/callers/CallersTask.ts
+++ b/src/services/callers/CallersTask.ts
@@ -3,16 +3,15 @@
 import * as h3 from 'h3';
 import * as codecs from '../../codecs/index.js';
 import * as decisions from '../../decisions/index.js';
-import * as kernel from '../../kernel/index.js';
 import * as configurations from '../../model/configuration/index.js';
 import * as errors from '../../model/errors/index.js';
 import type * as requests from '../../model/requests/index.js';
+import * as base from '../base/index.js';
 import * as configurationService from '../configuration/ConfigurationMessage.js';
 import * as fleetService from '../fleet/FleetMessage.js';
 import * as fleetViews from '../fleet/FleetView.js';
 import * as httpService from '../http/index.js';
 import * as logs from '../logs/index.js';
-import * as metrics from '../metrics/index.js';
 import type * as messages from './CallersMessage.js';
 import * as refusals from './RefusalLog.js';
 import * as flows from './RequestFlow.js';
@@ -26,7 +25,7 @@
 const DRAIN_MS = decisions.STEERING_TERM_MS + 500;
 
 /** Owns the callers' listener: steers callers, and takes their requests to upstreams and back. */
-export class CallersTask extends kernel.Task<messages.CallersMessage> {
+export class CallersTask extends base.ServiceTask<messages.CallersMessage> {
   private readonly listener: httpService.HttpListener;
   private readonly desk = new desks.SteeringDesk();
   private readonly refusals = new refusals.RefusalLog();
@@ -159,7 +158,7 @@
     incoming: http.IncomingMessage,
     response: http.ServerResponse,
   ): Promise<void> {
-    const startedAtMs = this.getContext().clock.monotonicMs();
+    const startedAtMs = this.nowMs();
     const requestId = crypto.randomUUID();
     const caller = new AbortController();
     response.once('close', () => {
@@ -172,10 +171,8 @@
     } catch (thrown) {
       this.fail(response, requestId, errors.toError(thrown));
     }
-    const valueMs = this.getContext().clock.monotonicMs() - startedAtMs;
-    this.getContext()
-      .services.getOrThrow(metrics.METRICS)
-      .post({kind: 'observe', name: 'request_ms', valueMs});
+    const valueMs = this.nowMs() - startedAtMs;
+    this.observe('request_ms', valueMs);
   }
 
   private async run(
@@ -260,19 +257,12 @@
     this.count(isNotRun ? 'requests_refused' : 'requests_failed');
     const nowMs = this.getContext().clock.wallMs();
     writers.writeError(response, requestId, error, nowMs);
-    this.getContext()
-      .services.getOrThrow(logs.LOG)
-      .post({
-        kind: 'event',
-        level: 'debug',
-        name: 'requestRefused',
-        fields: {request: requestId, error: error.kind},
-      });
-  }
-
-  private count(name: metrics.CounterName): void {
-    const {services} = this.getContext();
-    services.getOrThrow(metrics.METRICS).post({kind: 'count', name});
+    this.getService(logs.LOG).post({
+      kind: 'event',
+      level: 'debug',
+      name: 'requestRefused',
+      fields: {request: requestId, error: error.kind},
+    });
   }
 }
 
--- a/src/services/configuration/ConfigurationTask.ts
+++ b/src/services/configuration/ConfigurationTask.ts
@@ -3,6 +3,7 @@
 import * as configurations from '../../model/configuration/index.js';
 import * as errors from '../../model/errors/index.js';
 import type * as platform from '../../model/platform/index.js';
+import * as base from '../base/index.js';
 import * as fleetService from '../fleet/FleetMessage.js';
 import * as logs from '../logs/index.js';
 import * as peersService from '../peers/PeersMessage.js';
@@ -18,7 +19,7 @@
 const SPREAD_TIMEOUT_MS = 5000;
 
 /** Reads the configuration from the table or from peers, and puts changes into it. */
-export class ConfigurationTask extends kernel.Task<messages.ConfigurationMessage> {
+export class ConfigurationTask extends base.ServiceTask<messages.ConfigurationMessage> {
   private readonly subscribers: kernel.Address<messages.ConfigurationChanged>[] =
     [];
   private current: configurations.Configuration =
@@ -205,13 +206,11 @@
   }
 
   private logRejection(error: errors.BramleyrunError): void {
-    this.getContext()
-      .services.getOrThrow(logs.LOG)
-      .post({
-        kind: 'event',
-        level: 'error',
-        name: 'configurationRejected',
-        fields: {error: error.kind, message: error.message},
-      });
+    this.getService(logs.LOG).post({
+      kind: 'event',
+      level: 'error',
+      name: 'configurationRejected',
+      fields: {error: error.kind, message: error.message},
+    });
   }
 }
--- a/src/services/fleet/FleetTask.ts
+++ b/src/services/fleet/FleetTask.ts
@@ -4,14 +4,15 @@
 import * as errors from '../../model/errors/index.js';
 import * as fleet from '../../model/fleet/index.js';
 import type * as peers from '../../model/peers/index.js';
+import * as base from '../base/index.js';
 import * as callersService from '../callers/CallersMessage.js';
 import * as configurationService from '../configuration/ConfigurationMessage.js';
-import * as logs from '../logs/index.js';
 import * as operationsService from '../operations/OperationsMessage.js';
 import * as peersService from '../peers/PeersMessage.js';
 import * as messages from './FleetMessage.js';
 import type * as views from './FleetView.js';
 import * as records from './PeerRecord.js';
+import * as tables from './PeerTable.js';
 import * as registrations from './SlotRegistration.js';
 
 const HEARTBEAT_INTERVAL_MS = 500;
@@ -39,10 +40,10 @@
 }
 
 /** Knows who is in the fleet, who holds which slot and how fresh this process is. */
-export class FleetTask extends kernel.Task<messages.FleetMessage> {
+export class FleetTask extends base.ServiceTask<messages.FleetMessage> {
   private readonly options: FleetOptions;
   private readonly subscribers: kernel.Address<messages.FleetChanged>[] = [];
-  private readonly peerRecords = new Map<string, records.PeerRecord>();
+  private readonly peers = new tables.PeerTable();
   private readonly waiters = new Set<Waiter>();
   private self: fleet.VmRecord | undefined;
   private map: fleet.FleetMap | undefined;
@@ -170,22 +171,7 @@
     const self = this.self;
     if (self === undefined) return;
     this.map = map;
-    const nowMs = this.nowMs();
-    const processIds = new Set<string>();
-    for (const vm of fleet.getVms(map)) {
-      processIds.add(vm.processId);
-      if (vm.processId === self.processId || this.peerRecords.has(vm.processId))
-        continue;
-      this.peerRecords.set(vm.processId, {
-        vm,
-        status: undefined,
-        answeredSentAtMs: -Infinity,
-        deadSinceMs: undefined,
-        knownSinceMs: nowMs,
-      });
-    }
-    for (const processId of this.peerRecords.keys())
-      if (!processIds.has(processId)) this.peerRecords.delete(processId);
+    this.peers.update(map, self.processId, this.nowMs());
     this.forgetLostSlot(map, self.processId);
     this.sendHeartbeats();
     this.publish();
@@ -207,7 +193,7 @@
       this.getContext().services,
       this.map,
       this.getSelf(),
-      [...this.peerRecords.values()],
+      this.peers.getAll(),
       nowMs,
     );
     this.isRegistering = false;
@@ -236,14 +222,12 @@
   }
 
   private pollTable(): void {
-    this.getContext()
-      .services.getOrThrow(configurationService.CONFIGURATION)
-      .post({kind: 'poll'});
+    this.getService(configurationService.CONFIGURATION).post({kind: 'poll'});
   }
 
   private sendHeartbeats(): void {
     if (this.self === undefined || this.map === undefined) return;
-    for (const record of this.peerRecords.values()) this.sendHeartbeat(record);
+    for (const record of this.peers.getAll()) this.sendHeartbeat(record);
   }
 
   private sendHeartbeat(record: records.PeerRecord): void {
@@ -253,8 +237,7 @@
       kind: 'heartbeat',
       status: this.getStatus(),
     };
-    void this.getContext()
-      .services.getOrThrow(peersService.PEERS)
+    void this.getService(peersService.PEERS)
       .ask<peersService.CallResult>(reply => ({
         kind: 'call',
         peersAddress: record.vm.peersAddress,
@@ -301,10 +284,7 @@
       this.noteDeath(processId);
       return;
     }
-    const record = this.peerRecords.get(processId);
-    if (record === undefined) return;
-    const answeredSentAtMs = Math.max(record.answeredSentAtMs, sentAtMs);
-    this.peerRecords.set(processId, {...record, answeredSentAtMs});
+    this.peers.addAnswer(processId, sentAtMs);
     this.noteStatus(status);
     this.noteFreshness(status, sentAtMs);
     this.noteKnownTenure();
@@ -313,23 +293,17 @@
   }
 
   private noteStatus(status: peers.PeerStatus): void {
-    const record = this.peerRecords.get(status.processId);
-    if (record !== undefined)
-      this.peerRecords.set(status.processId, {
-        ...record,
-        status: records.mergeStatus(record.status, status),
-      });
+    this.peers.addStatus(status);
     const isNewer =
       status.configurationVersion > this.configurationVersion ||
       status.fleetVersion > (this.map?.version ?? 0);
-    const services = this.getContext().services;
-    const address = services.getOrThrow(configurationService.CONFIGURATION);
     if (!isNewer) return;
-    if (record === undefined) address.post({kind: 'poll'});
+    const peersAddress = this.peers.get(status.processId)?.vm.peersAddress;
+    if (peersAddress === undefined) this.pollTable();
     else
-      address.post({
+      this.getService(configurationService.CONFIGURATION).post({
         kind: 'newerAtPeer',
-        peersAddress: record.vm.peersAddress,
+        peersAddress,
       });
   }
 
@@ -347,20 +321,21 @@
   private noteKnownTenure(): void {
     const tenure = this.tenure;
     if (tenure === undefined || tenure.knownAtMs !== undefined) return;
-    const knowing = [...this.peerRecords.values()].filter(
-      record =>
-        record.status !== undefined &&
-        record.status.isCounted &&
-        record.status.fleetVersion >= tenure.takenInVersion,
-    );
+    const knowing = this.peers
+      .getAll()
+      .filter(
+        record =>
+          record.status !== undefined &&
+          record.status.isCounted &&
+          record.status.fleetVersion >= tenure.takenInVersion,
+      );
     if (knowing.length < this.getMajority()) return;
     this.tenure = {...tenure, knownAtMs: this.nowMs()};
   }
 
   private noteDeath(processId: string): void {
-    const record = this.peerRecords.get(processId);
-    if (record === undefined || record.deadSinceMs !== undefined) return;
-    this.peerRecords.set(processId, {...record, deadSinceMs: this.nowMs()});
+    const record = this.peers.addDeath(processId, this.nowMs());
+    if (record === undefined) return;
     this.log('warn', 'peerDied', {peer: record.vm.vmId, process: processId});
     this.publish();
   }
@@ -377,10 +352,8 @@
     const {map, self} = this;
     if (map === undefined || self === undefined) return undefined;
     const nowMs = this.nowMs();
-    const serving = [...this.peerRecords.values()].filter(record =>
-      records.isServing(record, nowMs),
-    );
-    const dead = this.getDead();
+    const serving = this.peers.getServing(nowMs);
+    const dead = this.peers.getDead();
     const freshUntilMs = this.getFreshUntilMs();
     return {
       self,
@@ -404,12 +377,10 @@
     nowMs: number,
   ): readonly views.LiveHolder[] {
     const own = {...self, isStopping: this.isStopping};
-    const others = [...this.peerRecords.values()]
-      .filter(record => records.isAlive(record, nowMs))
-      .map(record => ({
-        ...record.vm,
-        isStopping: record.status?.isStopping ?? false,
-      }));
+    const others = this.peers.getAlive(nowMs).map(record => ({
+      ...record.vm,
+      isStopping: record.status?.isStopping ?? false,
+    }));
     const vms = this.tenure === undefined ? others : [own, ...others];
     return vms.flatMap(({processId, peersAddress, isStopping}) => {
       const slotIndex = fleet.getSlotIndex(map, processId);
@@ -419,14 +390,6 @@
     });
   }
 
-  private getDead(): readonly decisions.DeadProcess[] {
-    return [...this.peerRecords.values()].flatMap(record =>
-      record.deadSinceMs === undefined
-        ? []
-        : [{processId: record.vm.processId, sinceMs: record.deadSinceMs}],
-    );
-  }
-
   private getFreshUntilMs(): number {
     return decisions.getFreshUntilMs(this.freshness, {
       majority: this.getMajority(),
@@ -464,7 +427,7 @@
       isStopping: this.isStopping,
       configurationVersion: this.configurationVersion,
     };
-    const others = [...this.peerRecords.values()].map(record => ({
+    const others = this.peers.getAll().map(record => ({
       vm: record.vm,
       slotIndex: fleet.getSlotIndex(map, record.vm.processId),
       isAnswering: records.isAlive(record, nowMs),
@@ -506,10 +469,6 @@
     return this.self;
   }
 
-  private nowMs(): number {
-    return this.getContext().clock.monotonicMs();
-  }
-
   private logFreshness(view: views.FleetView): void {
     const isFresh = view.freshUntilMs > this.nowMs();
     if (isFresh === this.wasFresh) return;
@@ -520,14 +479,4 @@
       {},
     );
   }
-
-  private log(
-    level: logs.LogMessage['level'],
-    name: logs.EventName,
-    fields: logs.LogFields,
-  ): void {
-    this.getContext()
-      .services.getOrThrow(logs.LOG)
-      .post({kind: 'event', level, name, fields});
-  }
 }
--- a/src/services/fleet/PeerRecord.ts
+++ b/src/services/fleet/PeerRecord.ts
@@ -21,6 +21,17 @@
   readonly knownSinceMs: number;
 }
 
+/** Gets the record of a process that has not answered yet. */
+export function getNewRecord(vm: fleet.VmRecord, nowMs: number): PeerRecord {
+  return {
+    vm,
+    status: undefined,
+    answeredSentAtMs: -Infinity,
+    deadSinceMs: undefined,
+    knownSinceMs: nowMs,
+  };
+}
+
 /** Gets the newer of two words of one process, in whichever order they came. */
 export function mergeStatus(
   known: peers.PeerStatus | undefined,
--- a/src/services/http/index.ts
+++ b/src/services/http/index.ts
@@ -1,2 +1,3 @@
 export * from './HttpListener.js';
 export * from './readBody.js';
+export * from './isNotSent.js';
--- /dev/null
+++ b/src/services/http/isNotSent.ts
@@ -0,0 +1,13 @@
+/** Failures that happen before anything is sent. */
+const NOT_SENT_CODES: ReadonlySet<string> = new Set([
+  'ECONNREFUSED',
+  'EHOSTUNREACH',
+  'ENETUNREACH',
+  'UND_ERR_CONNECT_TIMEOUT',
+]);
+
+/** Whether a failed request was certainly never sent. */
+export function isNotSent(thrown: unknown): boolean {
+  const {code} = thrown as {readonly code?: string};
+  return code !== undefined && NOT_SENT_CODES.has(code);
+}
--- a/src/services/limits/LimitsTask.ts
+++ b/src/services/limits/LimitsTask.ts
@@ -1,7 +1,7 @@
-import * as kernel from '../../kernel/index.js';
 import * as configurations from '../../model/configuration/index.js';
 import * as errors from '../../model/errors/index.js';
 import type * as peers from '../../model/peers/index.js';
+import * as base from '../base/index.js';
 import * as configurationService from '../configuration/ConfigurationMessage.js';
 import * as fleetService from '../fleet/FleetMessage.js';
 import * as fleetViews from '../fleet/FleetView.js';
@@ -15,7 +15,7 @@
 const TICK_MS = 250;
 
 /** Admits requests within each organisation's rate and burst over the whole fleet. */
-export class LimitsTask extends kernel.Task<messages.LimitsMessage> {
+export class LimitsTask extends base.ServiceTask<messages.LimitsMessage> {
   private readonly buckets = new buckets.BucketTable();
   private readonly homes = new homes.HomeTable();
   private readonly homeDesk = new desks.HomeDesk(this.buckets, this.homes);
@@ -63,7 +63,7 @@
 
   private update(): void {
     if (this.view === undefined) return;
-    const nowMs = this.getContext().clock.monotonicMs();
+    const nowMs = this.nowMs();
     const {document} = this.configuration;
     this.homes.update(this.view.liveHolders);
     this.buckets.update(document.organisations, this.view, nowMs);
@@ -89,7 +89,7 @@
   }
 
   private admitHere(organisationId: string): messages.AdmissionResult {
-    const nowMs = this.getContext().clock.monotonicMs();
+    const nowMs = this.nowMs();
     const event = {kind: 'admit', tokens: 1} as const;
     const outcome = this.buckets.decide(organisationId, event, nowMs);
     switch (outcome?.kind) {
@@ -105,7 +105,7 @@
   private answer(
     request: Extract<messages.LimitsMessage, {kind: 'peerRequest'}>['request'],
   ): peers.PeerAnswer {
-    const nowMs = this.getContext().clock.monotonicMs();
+    const nowMs = this.nowMs();
     switch (request.kind) {
       case 'borrowShares':
         return {
--- a/src/services/operations/OperationsTask.ts
+++ b/src/services/operations/OperationsTask.ts
@@ -5,8 +5,7 @@
 import type * as operations from '../../model/operations/index.js';
 import type * as peers from '../../model/peers/index.js';
 import type * as platform from '../../model/platform/index.js';
-import * as logs from '../logs/index.js';
-import * as metrics from '../metrics/index.js';
+import * as base from '../base/index.js';
 import * as peersService from '../peers/PeersMessage.js';
 import * as platformService from '../platform/index.js';
 import type * as attempts from './Attempt.js';
@@ -23,7 +22,7 @@
 const MAX_LOOKS = 4;
 
 /** Makes sure that each action runs at most once, by claims in the platform's table. */
-export class OperationsTask extends kernel.Task<messages.OperationsMessage> {
+export class OperationsTask extends base.ServiceTask<messages.OperationsMessage> {
   private readonly processId: string;
   private readonly attempts = new Map<string, attempts.Attempt>();
   private readonly storing = new Set<string>();
@@ -265,7 +264,7 @@
     this.log('debug', isWithdrawn ? 'claimWithdrawn' : 'outcomeStored', {
       attempt: attemptId,
     });
-    const nowMs = this.getContext().clock.monotonicMs();
+    const nowMs = this.nowMs();
     this.update(attemptId, {
       isUnstored: false,
       forgetAtMs: nowMs + MEMORY_MS,
@@ -274,7 +273,7 @@
   }
 
   private tick(): void {
-    const nowMs = this.getContext().clock.monotonicMs();
+    const nowMs = this.nowMs();
     for (const [attemptId, attempt] of this.attempts) {
       if (attempt.forgetAtMs <= nowMs) this.attempts.delete(attemptId);
       else if (isEnded(attempt)) void this.store(attemptId);
@@ -380,13 +379,13 @@
     version: number,
     write: platform.TableWrite,
   ): Promise<platform.TransactionResult> {
-    return await this.getContext()
-      .services.getOrThrow(platformService.PLATFORM)
-      .ask<platform.TransactionResult>(reply => ({
-        kind: 'transact',
-        transaction: {checks: [{key, version}], writes: [write]},
-        reply,
-      }));
+    return await this.getService(
+      platformService.PLATFORM,
+    ).ask<platform.TransactionResult>(reply => ({
+      kind: 'transact',
+      transaction: {checks: [{key, version}], writes: [write]},
+      reply,
+    }));
   }
 
   private update(attemptId: string, change: Partial<attempts.Attempt>): void {
@@ -394,21 +393,6 @@
     if (attempt === undefined) return;
     this.attempts.set(attemptId, {...attempt, ...change});
   }
-
-  private count(name: metrics.CounterName): void {
-    const {services} = this.getContext();
-    services.getOrThrow(metrics.METRICS).post({kind: 'count', name});
-  }
-
-  private log(
-    level: logs.LogMessage['level'],
-    name: logs.EventName,
-    fields: logs.LogFields,
-  ): void {
-    this.getContext()
-      .services.getOrThrow(logs.LOG)
-      .post({kind: 'event', level, name, fields});
-  }
 }
 
 function toBeginResult(
--- a/src/services/peers/PeersTask.ts
+++ b/src/services/peers/PeersTask.ts
@@ -2,9 +2,9 @@
 import * as jsonRpc from 'json-rpc-2.0';
 import * as undici from 'undici';
 import * as codecs from '../../codecs/index.js';
-import * as kernel from '../../kernel/index.js';
 import * as errors from '../../model/errors/index.js';
 import type * as peers from '../../model/peers/index.js';
+import * as base from '../base/index.js';
 import * as http from '../http/index.js';
 import * as metrics from '../metrics/index.js';
 import * as answering from './answerPeer.js';
@@ -27,7 +27,7 @@
 ];
 
 /** Owns the peers' listener and the connections to other daemons. */
-export class PeersTask extends kernel.Task<messages.PeersMessage> {
+export class PeersTask extends base.ServiceTask<messages.PeersMessage> {
   private readonly secret: string;
   private readonly localAddress: string;
   private readonly listener: http.HttpListener;
--- a/src/services/platform/PlatformTask.ts
+++ b/src/services/platform/PlatformTask.ts
@@ -1,5 +1,6 @@
 import * as kernel from '../../kernel/index.js';
 import * as errors from '../../model/errors/index.js';
+import * as base from '../base/index.js';
 import * as logs from '../logs/index.js';
 import * as metrics from '../metrics/index.js';
 import type * as adapters from './adapters/PlatformAdapter.js';
@@ -10,7 +11,7 @@
 }
 
 /** Owns the connections to the platform. */
-export class PlatformTask extends kernel.Task<messages.PlatformMessage> {
+export class PlatformTask extends base.ServiceTask<messages.PlatformMessage> {
   private readonly adapter: adapters.PlatformAdapter;
 
   /** @param adapter How this deployment's platform is met. */
@@ -80,13 +81,11 @@
 
   private logFailure(thrown: unknown): void {
     const error = errors.toError(thrown);
-    this.getContext()
-      .services.getOrThrow(logs.LOG)
-      .post({
-        kind: 'event',
-        level: 'warn',
-        name: 'platformFailed',
-        fields: {error: error.kind, message: error.message},
-      });
+    this.getService(logs.LOG).post({
+      kind: 'event',
+      level: 'warn',
+      name: 'platformFailed',
+      fields: {error: error.kind, message: error.message},
+    });
   }
 }
--- a/src/services/platform/adapters/HttpPlatform.ts
+++ b/src/services/platform/adapters/HttpPlatform.ts
@@ -2,6 +2,7 @@
 import * as zod from 'zod';
 import * as codecs from '../../../codecs/index.js';
 import type * as platform from '../../../model/platform/index.js';
+import * as http from '../../http/index.js';
 import type * as adapters from './PlatformAdapter.js';
 
 /** How long in milliseconds an answer of the platform is waited for. */
@@ -12,14 +13,6 @@
 const HTTP_NOT_FOUND = 404;
 const HTTP_UNAVAILABLE = 503;
 
-/** Failures that happen before anything is sent. */
-const NOT_SENT_CODES: ReadonlySet<string> = new Set([
-  'ECONNREFUSED',
-  'EHOSTUNREACH',
-  'ENETUNREACH',
-  'UND_ERR_CONNECT_TIMEOUT',
-]);
-
 type Exchange =
   | {
       readonly kind: 'answer';
@@ -114,8 +107,7 @@
       const text = await response.body.text();
       return {kind: 'answer', httpStatus: response.statusCode, text};
     } catch (thrown) {
-      const code = (thrown as {readonly code?: string}).code ?? '';
-      return {kind: NOT_SENT_CODES.has(code) ? 'notSent' : 'noAnswer'};
+      return {kind: http.isNotSent(thrown) ? 'notSent' : 'noAnswer'};
     }
   }
 }
--- a/src/services/upstreams/UpstreamClient.ts
+++ b/src/services/upstreams/UpstreamClient.ts
@@ -3,6 +3,7 @@
 import * as undici from 'undici';
 import * as codecs from '../../codecs/index.js';
 import type * as requests from '../../model/requests/index.js';
+import * as httpService from '../http/index.js';
 
 const MAX_CONNECTIONS = 48;
 const CONNECT_TIMEOUT_MS = 1000;
@@ -15,14 +16,6 @@
 
 const HTTP_UNAVAILABLE = 503;
 
-/** Failures that happen before anything is sent. */
-const NOT_SENT_CODES: ReadonlySet<string> = new Set([
-  'ECONNREFUSED',
-  'EHOSTUNREACH',
-  'ENETUNREACH',
-  'UND_ERR_CONNECT_TIMEOUT',
-]);
-
 /** How the sending of one request to one upstream ended. */
 export type SendResult =
   | {readonly kind: 'answered'; readonly answer: requests.UpstreamAnswer}
@@ -181,8 +174,8 @@
       this.output.destroy(error);
       return;
     }
-    const code = (error as {readonly code?: string}).code ?? '';
-    const isNotSent = this.controller === undefined || NOT_SENT_CODES.has(code);
+    const isNotSent =
+      this.controller === undefined || httpService.isNotSent(error);
     this.settle({kind: isNotSent ? 'notSent' : 'broken'});
   }
 
--- a/src/services/upstreams/UpstreamsTask.ts
+++ b/src/services/upstreams/UpstreamsTask.ts
@@ -2,14 +2,12 @@
 import * as zod from 'zod';
 import * as codecs from '../../codecs/index.js';
 import * as decisions from '../../decisions/index.js';
-import * as kernel from '../../kernel/index.js';
 import * as errors from '../../model/errors/index.js';
 import type * as peers from '../../model/peers/index.js';
+import * as base from '../base/index.js';
 import * as configurationService from '../configuration/ConfigurationMessage.js';
 import * as fleetService from '../fleet/FleetMessage.js';
 import type * as fleetViews from '../fleet/FleetView.js';
-import * as logs from '../logs/index.js';
-import * as metrics from '../metrics/index.js';
 import * as peersService from '../peers/PeersMessage.js';
 import type * as clients from './UpstreamClient.js';
 import * as tables from './UpstreamTable.js';
@@ -28,7 +26,7 @@
 });
 
 /** Chooses upstreams, sends requests to them and knows how they fare. */
-export class UpstreamsTask extends kernel.Task<messages.UpstreamsMessage> {
+export class UpstreamsTask extends base.ServiceTask<messages.UpstreamsMessage> {
   private readonly table: tables.UpstreamTable;
   private readonly random: pureRand.RandomGenerator;
   private view: fleetViews.FleetView | undefined;
@@ -138,9 +136,7 @@
     });
     this.table.addInFlight(upstreamId, -1);
     const valueMs = this.nowMs() - startedAtMs;
-    this.getContext()
-      .services.getOrThrow(metrics.METRICS)
-      .post({kind: 'observe', name: 'upstream_ms', valueMs});
+    this.observe('upstream_ms', valueMs);
     return result;
   }
 
@@ -176,7 +172,7 @@
 
   private avoid(upstreamId: string, reason: string): void {
     this.table.addFailure(upstreamId, this.nowMs());
-    this.log('upstreamAvoided', {upstream: upstreamId, reason});
+    this.log('warn', 'upstreamAvoided', {upstream: upstreamId, reason});
   }
 
   private takeRetry(): boolean {
@@ -225,7 +221,7 @@
     } as const;
     this.addBreak(request);
     this.count('upstream_breaks');
-    this.log('requestSuspected', {
+    this.log('warn', 'requestSuspected', {
       upstream: upstreamId,
       digest: requestDigestHex,
     });
@@ -285,21 +281,6 @@
     );
     return value / RANDOM_RANGE;
   }
-
-  private nowMs(): number {
-    return this.getContext().clock.monotonicMs();
-  }
-
-  private count(name: metrics.CounterName): void {
-    const {services} = this.getContext();
-    services.getOrThrow(metrics.METRICS).post({kind: 'count', name});
-  }
-
-  private log(name: logs.EventName, fields: logs.LogFields): void {
-    this.getContext()
-      .services.getOrThrow(logs.LOG)
-      .post({kind: 'event', level: 'warn', name, fields});
-  }
 }
 
 /** What follows a try. */
--- a/standins/platform/main.ts
+++ b/standins/platform/main.ts
@@ -110,7 +110,7 @@
   return {text: result.text};
 });
 
-app.get('/vms', async event => {
+app.get('/vms', async () => {
   const blocked = await passFaults();
   if (blocked) return blocked;
   const result = await store.listVms();
--- a/test/codecs/settings/parseSettings.test.ts
+++ b/test/codecs/settings/parseSettings.test.ts
@@ -15,8 +15,8 @@
   throw new Error('the settings were taken');
 }
 
-test.describe('parseSettings', () => {
-  test.it('takes every example', () => {
+void test.describe('parseSettings', () => {
+  void test.it('takes every example', () => {
     for (const folder of ['examples/miftah', 'examples/guild'])
       for (const file of fs.readdirSync(folder))
         if (file.endsWith('.toml'))
@@ -25,20 +25,20 @@
     earl.expect(vm.vmId).toEqual('local-1');
   });
 
-  test.it('names an unknown field', () => {
+  void test.it('names an unknown field', () => {
     const error = getError(EXAMPLE.replace('[vm]', '[vm]\nzone = "x"'));
     earl.expect(error.kind).toEqual('invalidSettings');
     earl.expect(error.fieldPath).toEqual('vm.zone');
   });
 
-  test.it('names a wrong field', () => {
+  void test.it('names a wrong field', () => {
     const wrong = EXAMPLE.replace('slotCount = 1', 'slotCount = 0');
     earl.expect(getError(wrong).fieldPath).toEqual('fleet.slotCount');
     const port = EXAMPLE.replace('127.0.0.1:8081', '127.0.0.1:99999');
     earl.expect(getError(port).fieldPath).toEqual('listeners.operators');
   });
 
-  test.it('names the line of text that is not TOML', () => {
+  void test.it('names the line of text that is not TOML', () => {
     const error = getError('a = 1\nb = = 2\n');
     earl.expect(error.message.startsWith('line 2')).toEqual(true);
   });
--- a/test/decisions/limits/decideBucket.test.ts
+++ b/test/decisions/limits/decideBucket.test.ts
@@ -70,8 +70,8 @@
   },
 );
 
-test.describe('decideBucket', () => {
-  test.it('keeps every window, whatever is late, lost or dead', () => {
+void test.describe('decideBucket', () => {
+  void test.it('keeps every window, whatever is late, lost or dead', () => {
     fastCheck.assert(
       fastCheck.property(
         fastCheck.array(stepArbitrary, {minLength: 20, maxLength: 160}),
@@ -89,14 +89,17 @@
     );
   });
 
-  test.it('admits a full burst at a home that borrowed every share', () => {
-    const model = new models.BucketModel(LIMITS);
-    model.step({kind: 'wait', durationMs: 20, request: 5, answer: 5});
-    model.step({kind: 'admit', at: 0, count: 8});
-    earl.expect(model.admittedAtMs.length).toEqual(6);
-  });
+  void test.it(
+    'admits a full burst at a home that borrowed every share',
+    () => {
+      const model = new models.BucketModel(LIMITS);
+      model.step({kind: 'wait', durationMs: 20, request: 5, answer: 5});
+      model.step({kind: 'admit', at: 0, count: 8});
+      earl.expect(model.admittedAtMs.length).toEqual(6);
+    },
+  );
 
-  test.it('tells when a refused request may come again', () => {
+  void test.it('tells when a refused request may come again', () => {
     const empty = decisions.getEmptyBucket(0);
     const control = decisions.decideBucket(
       empty,
--- a/test/decisions/steering/steering.test.ts
+++ b/test/decisions/steering/steering.test.ts
@@ -45,8 +45,8 @@
   return best?.value ?? decisions.NO_BLOCK;
 }
 
-test.describe('BlockTable', () => {
-  test.it('finds the most specific block of any address', () => {
+void test.describe('BlockTable', () => {
+  void test.it('finds the most specific block of any address', () => {
     fastCheck.assert(
       fastCheck.property(
         fastCheck.array(entryArbitrary, {maxLength: 30}),
@@ -69,8 +69,8 @@
   });
 });
 
-test.describe('a planned shift', () => {
-  test.it('never moves more than its cap, cached answers counted', () => {
+void test.describe('a planned shift', () => {
+  void test.it('never moves more than its cap, cached answers counted', () => {
     fastCheck.assert(
       fastCheck.property(
         fastCheck.double({min: 0, max: 1, noNaN: true}),
@@ -108,20 +108,23 @@
   });
 });
 
-test.describe('decideSteering', () => {
+void test.describe('decideSteering', () => {
   const vms = Array.from({length: 7}, (_, index) => getVm(index));
 
-  test.it('names the home of the organisation first, then the region', () => {
-    const {choices} = decisions.decideSteering(
-      {vms, region: 'region-1', homeProcessId: 'process-5', position: 0.4},
-      1000,
-    );
-    earl.expect(choices[0].vmId).toEqual('vm-5');
-    earl.expect(choices[1].region).toEqual('region-1');
-    earl.expect(choices.length).toEqual(7);
-  });
+  void test.it(
+    'names the home of the organisation first, then the region',
+    () => {
+      const {choices} = decisions.decideSteering(
+        {vms, region: 'region-1', homeProcessId: 'process-5', position: 0.4},
+        1000,
+      );
+      earl.expect(choices[0].vmId).toEqual('vm-5');
+      earl.expect(choices[1].region).toEqual('region-1');
+      earl.expect(choices.length).toEqual(7);
+    },
+  );
 
-  test.it('spreads callers evenly over the VMs of their region', () => {
+  void test.it('spreads callers evenly over the VMs of their region', () => {
     const counts = new Map<string, number>();
     for (let caller = 0; caller < 3000; caller += 1) {
       const position = decisions.getPosition(
--- a/test/decisions/upstreams/chooseUpstream.test.ts
+++ b/test/decisions/upstreams/chooseUpstream.test.ts
@@ -37,59 +37,62 @@
   return choice.kind === 'chosen' ? choice.upstreamId : choice.kind;
 }
 
-test.describe('chooseUpstream', () => {
-  test.it('takes the less loaded of two near ones', () => {
+void test.describe('chooseUpstream', () => {
+  void test.it('takes the less loaded of two near ones', () => {
     const views = [getView('a', {ownInFlightCount: 3}), getView('b')];
     earl.expect(choose(views)).toEqual('b');
   });
 
-  test.it('goes farther only when near ones are full', () => {
+  void test.it('goes farther only when near ones are full', () => {
     const far = getView('far', {distance: 'sameRegion'});
     earl.expect(choose([getView('near'), far])).toEqual('near');
     const full = getView('near', {ownInFlightCount: 7});
     earl.expect(choose([full, far])).toEqual('far');
   });
 
-  test.it('leaves out those that failed or were tried', () => {
+  void test.it('leaves out those that failed or were tried', () => {
     const views = [getView('a', {avoidUntilMs: 100}), getView('b')];
     earl.expect(choose(views, 50)).toEqual('b');
     earl.expect(choose(views, 50, {triedIds: ['b']})).toEqual('none');
     earl.expect(choose(views, 100, {triedIds: ['b']})).toEqual('a');
   });
 
-  test.it('believes a report less as it ages', () => {
+  void test.it('believes a report less as it ages', () => {
     const report = {busyCount: 6, ownInFlightCount: 0, askedAtMs: 0};
     const views = [getView('a', {report}), getView('b', {ownInFlightCount: 2})];
     earl.expect(choose(views, 100)).toEqual('b');
     earl.expect(choose(views, 2900)).toEqual('a');
   });
 
-  test.it('gives a cold upstream a part of its slots', () => {
+  void test.it('gives a cold upstream a part of its slots', () => {
     const cold = getView('cold', {warmingSinceMs: 0, ownInFlightCount: 3});
     earl.expect(decisions.getUtilisation(cold, 0)).toBeGreaterThan(1);
     earl.expect(decisions.getUtilisation(cold, 4000)).toBeLessThan(1);
   });
 
-  test.it('together, VMs that spill never fill another region over 0.8', () => {
-    fastCheck.assert(
-      fastCheck.property(
-        fastCheck.integer({min: 1, max: 7}),
-        fastCheck.integer({min: 1, max: 24}),
-        fastCheck.integer({min: 0, max: 7}),
-        (vmCount, upstreamCount, busyCount) => {
-          let sentCount = 0;
-          for (let vm = 0; vm < vmCount; vm += 1)
-            sentCount += spill(vmCount, upstreamCount, busyCount);
-          const slotCount = upstreamCount * 7;
-          const taken = busyCount * upstreamCount + sentCount;
-          const before = busyCount * upstreamCount;
-          const limit = Math.max(before, 0.8 * slotCount);
-          return taken <= limit + vmCount;
-        },
-      ),
-      {seed: SEED, numRuns: 500},
-    );
-  });
+  void test.it(
+    'together, VMs that spill never fill another region over 0.8',
+    () => {
+      fastCheck.assert(
+        fastCheck.property(
+          fastCheck.integer({min: 1, max: 7}),
+          fastCheck.integer({min: 1, max: 24}),
+          fastCheck.integer({min: 0, max: 7}),
+          (vmCount, upstreamCount, busyCount) => {
+            let sentCount = 0;
+            for (let vm = 0; vm < vmCount; vm += 1)
+              sentCount += spill(vmCount, upstreamCount, busyCount);
+            const slotCount = upstreamCount * 7;
+            const taken = busyCount * upstreamCount + sentCount;
+            const before = busyCount * upstreamCount;
+            const limit = Math.max(before, 0.8 * slotCount);
+            return taken <= limit + vmCount;
+          },
+        ),
+        {seed: SEED, numRuns: 500},
+      );
+    },
+  );
 });
 
 /** Sends as much as one VM may into another region whose reports stand still. */
--- a/test/deployment/AtMostOnce.test.ts
+++ b/test/deployment/AtMostOnce.test.ts
@@ -186,72 +186,79 @@
   if (texts.length > 0) earl.expect(started.length).toEqual(1);
 }
 
-test.describe('an action that runs at most once', {timeout: 600_000}, () => {
-  test.before(async () => {
-    await deployment.start();
-  });
+void test.describe(
+  'an action that runs at most once',
+  {timeout: 600_000},
+  () => {
+    test.before(async () => {
+      await deployment.start();
+    });
 
-  test.after(async () => {
-    await deployment.stop();
-  });
+    test.after(async () => {
+      await deployment.stop();
+    });
 
-  for (const step of STEPS)
-    for (const fault of FAULTS)
-      test.it(`${fault} at step ${step}`, async () => {
-        const idempotencyKey = `${step}-${fault}`;
-        await hold(step);
-        const first = await reach(step, idempotencyKey);
-        await inject(fault);
-        const second = await send(SECOND, idempotencyKey);
-        await heal();
-        const answers = [
-          ...(await Promise.all(first)),
-          second,
-          await send(SECOND, idempotencyKey),
-          await send(FIRST, idempotencyKey),
-        ];
-        judge(idempotencyKey, answers);
-      });
+    for (const step of STEPS)
+      for (const fault of FAULTS)
+        void test.it(`${fault} at step ${step}`, async () => {
+          const idempotencyKey = `${step}-${fault}`;
+          await hold(step);
+          const first = await reach(step, idempotencyKey);
+          await inject(fault);
+          const second = await send(SECOND, idempotencyKey);
+          await heal();
+          const answers = [
+            ...(await Promise.all(first)),
+            second,
+            await send(SECOND, idempotencyKey),
+            await send(FIRST, idempotencyKey),
+          ];
+          judge(idempotencyKey, answers);
+        });
 
-  test.it('two VMs given the same key at once run it once', async () => {
-    for (let round = 0; round < 20; round += 1) {
-      const idempotencyKey = `race-${round}`;
-      const answers = await Promise.all(
-        ['vm-0', 'vm-1', 'vm-2', 'vm-0'].map(vmId =>
-          send(vmId, idempotencyKey),
-        ),
-      );
-      judge(idempotencyKey, answers);
-      earl
-        .expect(answers.some(answer => answer.httpStatus === 200))
-        .toEqual(true);
-    }
-  });
-
-  test.it('a key that came with another request is refused', async () => {
-    await send(FIRST, 'reused');
-    const other = await deployment.request(SECOND, '/doors/8', {
-      key: KEY,
-      method: 'POST',
-      body: 'open',
-      idempotencyKey: 'reused',
+    void test.it('two VMs given the same key at once run it once', async () => {
+      for (let round = 0; round < 20; round += 1) {
+        const idempotencyKey = `race-${round}`;
+        const answers = await Promise.all(
+          ['vm-0', 'vm-1', 'vm-2', 'vm-0'].map(vmId =>
+            send(vmId, idempotencyKey),
+          ),
+        );
+        judge(idempotencyKey, answers);
+        earl
+          .expect(answers.some(answer => answer.httpStatus === 200))
+          .toEqual(true);
+      }
     });
-    earl
-      .expect(other.headers['x-bramleyrun-error'])
-      .toEqual('idempotencyKeyReused');
-  });
 
-  test.it(
-    'a route that runs at most once needs an idempotency key',
-    async () => {
-      const answer = await deployment.request(FIRST, '/doors/7', {
-        key: KEY,
-        method: 'POST',
-      });
-      earl
-        .expect(answer.headers['x-bramleyrun-error'])
-        .toEqual('idempotencyKeyMissing');
-      earl.expect(answer.headers['x-bramleyrun-not-run']).toEqual('true');
-    },
-  );
-});
+    void test.it(
+      'a key that came with another request is refused',
+      async () => {
+        await send(FIRST, 'reused');
+        const other = await deployment.request(SECOND, '/doors/8', {
+          key: KEY,
+          method: 'POST',
+          body: 'open',
+          idempotencyKey: 'reused',
+        });
+        earl
+          .expect(other.headers['x-bramleyrun-error'])
+          .toEqual('idempotencyKeyReused');
+      },
+    );
+
+    void test.it(
+      'a route that runs at most once needs an idempotency key',
+      async () => {
+        const answer = await deployment.request(FIRST, '/doors/7', {
+          key: KEY,
+          method: 'POST',
+        });
+        earl
+          .expect(answer.headers['x-bramleyrun-error'])
+          .toEqual('idempotencyKeyMissing');
+        earl.expect(answer.headers['x-bramleyrun-not-run']).toEqual('true');
+      },
+    );
+  },
+);
--- a/test/deployment/Configuration.test.ts
+++ b/test/deployment/Configuration.test.ts
@@ -121,7 +121,7 @@
     );
 }
 
-test.describe('configuration over five VMs', {timeout: 600_000}, () => {
+void test.describe('configuration over five VMs', {timeout: 600_000}, () => {
   test.before(async () => {
     await deployment.start();
   });
@@ -131,7 +131,7 @@
   });
 
   for (const fault of FAULTS)
-    test.it(`a withdrawn key stops working, fault ${fault}`, async () => {
+    void test.it(`a withdrawn key stops working, fault ${fault}`, async () => {
       const key = `key-${fault}`;
       const granted = {
         organisationId: 'rustavi',
@@ -166,7 +166,7 @@
       earl.expect(late.length).toEqual(0);
     });
 
-  test.it(
+  void test.it(
     'a change that only a minority with the store has is not called accepted',
     async () => {
       const minority = ['vm-0', 'vm-1'];
@@ -190,7 +190,7 @@
     },
   );
 
-  test.it(
+  void test.it(
     'of racing operators one wins and the others are told the version',
     async () => {
       for (let round = 0; round < 5; round += 1) {
@@ -219,7 +219,7 @@
     },
   );
 
-  test.it(
+  void test.it(
     'every change stands in the audit trail with its operator',
     async () => {
       const {records} = await deployment.operate<{
@@ -232,7 +232,7 @@
     },
   );
 
-  test.it(
+  void test.it(
     'a wrong patch is refused with the path and changes nothing',
     async () => {
       const before = await deployment.operate<configurations.Configuration>(
--- a/test/deployment/Limits.test.ts
+++ b/test/deployment/Limits.test.ts
@@ -97,7 +97,7 @@
   await Promise.all(callers);
 }
 
-test.describe(
+void test.describe(
   'one organisation over seven VMs at several times its rate',
   {timeout: 600_000},
   () => {
@@ -111,20 +111,23 @@
 
     for (const fault of FAULTS)
       for (const vmId of ['vm-2', 'vm-5'])
-        test.it(`keeps every window, fault ${fault} of ${vmId}`, async () => {
-          await load();
-          await inject(fault, vmId);
-          await load();
-          await load();
-          await heal(vmId);
-          await load();
-          const admissions = getAdmissions();
-          const over = excess.getExcess(admissions, {
-            ratePerSecond: RATE_PER_SECOND,
-            burst: BURST,
-          });
-          earl.expect(admissions.length).toBeGreaterThan(0);
-          earl.expect(over).toBeLessThanOrEqual(ROUNDING_TOKENS);
-        });
+        void test.it(
+          `keeps every window, fault ${fault} of ${vmId}`,
+          async () => {
+            await load();
+            await inject(fault, vmId);
+            await load();
+            await load();
+            await heal(vmId);
+            await load();
+            const admissions = getAdmissions();
+            const over = excess.getExcess(admissions, {
+              ratePerSecond: RATE_PER_SECOND,
+              burst: BURST,
+            });
+            earl.expect(admissions.length).toBeGreaterThan(0);
+            earl.expect(over).toBeLessThanOrEqual(ROUNDING_TOKENS);
+          },
+        );
   },
 );
--- a/test/deployment/Requests.test.ts
+++ b/test/deployment/Requests.test.ts
@@ -34,7 +34,7 @@
   return JSON.parse(text) as decisions.SteeringAnswer;
 }
 
-test.describe('requests through three VMs', {timeout: 600_000}, () => {
+void test.describe('requests through three VMs', {timeout: 600_000}, () => {
   test.before(async () => {
     await deployment.start();
   });
@@ -43,7 +43,7 @@
     await deployment.stop();
   });
 
-  test.it("run only for the key's organisation", async () => {
+  void test.it("run only for the key's organisation", async () => {
     const forged = {'x-bramleyrun-organisation': 'telavi'};
     await deployment.request('vm-0', '/look-up/own', {
       key: KEY,
@@ -56,7 +56,7 @@
     earl.expect(other.organisationId).toEqual('telavi');
   });
 
-  test.it('show no upstream and no log the key', async () => {
+  void test.it('show no upstream and no log the key', async () => {
     const encoded = encodeURIComponent(KEY);
     const answers = await Promise.all([
       deployment.request('vm-0', '/look-up/k1', {
@@ -90,7 +90,7 @@
     earl.expect(logs.includes(KEY)).toEqual(false);
   });
 
-  test.it('without a granted key are refused and not run', async () => {
+  void test.it('without a granted key are refused and not run', async () => {
     const none = await deployment.request('vm-0', '/look-up/none');
     const wrong = await deployment.request('vm-0', '/look-up/none', {
       key: 'wrong',
@@ -104,7 +104,7 @@
     earl.expect(open.httpStatus).toEqual(200);
   });
 
-  test.it('get whole answers, long ones too', async () => {
+  void test.it('get whole answers, long ones too', async () => {
     const sizes = [0, 1000, 300_000, 3_000_000];
     for (const size of sizes) {
       const target = `/look-up/size?size=${size}`;
@@ -114,7 +114,7 @@
     }
   });
 
-  test.it('never get a truncated or crossed answer as whole', async () => {
+  void test.it('never get a truncated or crossed answer as whole', async () => {
     for (const mode of ['truncate', 'cross']) {
       for (const upstream of deployment.getUpstreams())
         await deployment.controlUpstream(upstream.plan.upstreamId, {mode});
@@ -137,7 +137,7 @@
     }
   });
 
-  test.it('that come late never answer another request', async () => {
+  void test.it('that come late never answer another request', async () => {
     const late = Array.from({length: 10}, (_, index) =>
       deployment.request('vm-0', `/look-up/late-${index}?ms=1700`, {key: KEY}),
     );
@@ -152,20 +152,27 @@
     }
   });
 
-  test.it('go to no draining upstream, also when it says nothing', async () => {
-    const upstreams = {'upstream-1': {status: 'draining'}};
-    await deployment.patch('vm-0', {upstreams});
-    for (let index = 0; index < 60; index += 1)
-      await deployment.request(`vm-${index % 3}`, '/look-up/drain', {key: KEY});
-    const upstreamIds = getRunsOf('/look-up/drain').map(run => run.upstreamId);
-    earl.expect(upstreamIds.length).toEqual(60);
-    earl.expect(upstreamIds.includes('upstream-1')).toEqual(false);
-    await deployment.patch('vm-0', {
-      upstreams: {'upstream-1': {status: 'active'}},
-    });
-  });
+  void test.it(
+    'go to no draining upstream, also when it says nothing',
+    async () => {
+      const upstreams = {'upstream-1': {status: 'draining'}};
+      await deployment.patch('vm-0', {upstreams});
+      for (let index = 0; index < 60; index += 1)
+        await deployment.request(`vm-${index % 3}`, '/look-up/drain', {
+          key: KEY,
+        });
+      const upstreamIds = getRunsOf('/look-up/drain').map(
+        run => run.upstreamId,
+      );
+      earl.expect(upstreamIds.length).toEqual(60);
+      earl.expect(upstreamIds.includes('upstream-1')).toEqual(false);
+      await deployment.patch('vm-0', {
+        upstreams: {'upstream-1': {status: 'active'}},
+      });
+    },
+  );
 
-  test.it(
+  void test.it(
     'that break upstreams are stopped after two, fleet-wide',
     async () => {
       const plan = plans.getPlan({vmCount: 3, upstreamCount: 6});
@@ -190,7 +197,7 @@
     },
   );
 
-  test.it('are cut by no planned stop', async () => {
+  void test.it('are cut by no planned stop', async () => {
     const stopping = deployment.getVmOrThrow('vm-2');
     const failed: deployments.CallerAnswer[] = [];
     const callers = Array.from({length: 6}, async () => {
--- a/test/examples/library.test.ts
+++ b/test/examples/library.test.ts
@@ -2,53 +2,61 @@
 import * as earl from 'earl';
 import * as bramleyrun from '../../src/index.js';
 
-test.describe('the library, with no daemon around it', () => {
-  test.it('shares one rate between processes that lend to each other', () => {
-    const {decisions} = bramleyrun;
-    const limits = {ratePerSecond: 10, burstTokens: 4, slotCount: 2};
-    const slot = {usableFromMs: 0, isUnused: true};
-    const start = (slotIndex: number) =>
-      decisions.decideBucket(
-        decisions.getEmptyBucket(0),
+void test.describe('the library, with no daemon around it', () => {
+  void test.it(
+    'shares one rate between processes that lend to each other',
+    () => {
+      const {decisions} = bramleyrun;
+      const limits = {ratePerSecond: 10, burstTokens: 4, slotCount: 2};
+      const slot = {usableFromMs: 0, isUnused: true};
+      const start = (slotIndex: number) =>
+        decisions.decideBucket(
+          decisions.getEmptyBucket(0),
+          limits,
+          {kind: 'control', slots: [{...slot, slotIndex}]},
+          0,
+        ).state;
+      const loan = decisions.decideBucket(
+        start(1),
         limits,
-        {kind: 'control', slots: [{...slot, slotIndex}]},
+        {
+          kind: 'lend',
+          borrowerProcessId: 'a',
+          loanSequence: 1,
+          deadlineMs: 2200,
+        },
         0,
-      ).state;
-    const loan = decisions.decideBucket(
-      start(1),
-      limits,
-      {kind: 'lend', borrowerProcessId: 'a', loanSequence: 1, deadlineMs: 2200},
-      0,
-    ).outcome;
-    if (loan.kind !== 'moved') throw new Error('nothing was lent');
-    let home = decisions.decideBucket(
-      start(0),
-      limits,
-      {
-        kind: 'borrow',
-        lenderProcessId: 'b',
-        slotIndexes: loan.slotIndexes,
-        levelTokens: loan.levelTokens,
-        deadlineMs: 2000,
-      },
-      1,
-    ).state;
-    const kinds = Array.from({length: 5}, () => {
-      const decision = decisions.decideBucket(
-        home,
+      ).outcome;
+      if (loan.kind !== 'moved') throw new Error('nothing was lent');
+      let home = decisions.decideBucket(
+        start(0),
         limits,
-        {kind: 'admit', tokens: 1},
+        {
+          kind: 'borrow',
+          lenderProcessId: 'b',
+          slotIndexes: loan.slotIndexes,
+          levelTokens: loan.levelTokens,
+          deadlineMs: 2000,
+        },
         1,
-      );
-      home = decision.state;
-      return decision.outcome.kind;
-    });
-    earl
-      .expect(kinds)
-      .toEqual(['granted', 'granted', 'granted', 'granted', 'refused']);
-  });
+      ).state;
+      const kinds = Array.from({length: 5}, () => {
+        const decision = decisions.decideBucket(
+          home,
+          limits,
+          {kind: 'admit', tokens: 1},
+          1,
+        );
+        home = decision.state;
+        return decision.outcome.kind;
+      });
+      earl
+        .expect(kinds)
+        .toEqual(['granted', 'granted', 'granted', 'granted', 'refused']);
+    },
+  );
 
-  test.it('tells until when a process may use what it knows', () => {
+  void test.it('tells until when a process may use what it knows', () => {
     const {decisions} = bramleyrun;
     let state = decisions.NOT_FRESH;
     for (const [slotIndex, sentAtMs] of [
@@ -63,13 +71,13 @@
       .toEqual(200 + decisions.FRESHNESS_TERM_MS);
   });
 
-  test.it('decides what a repeat of an action gets', () => {
+  void test.it('decides what a repeat of an action gets', () => {
     const {decisions} = bramleyrun;
     const decision = decisions.decideFromHolder({kind: 'abandoned'});
     earl.expect(decision.kind).toEqual('replace');
   });
 
-  test.it('steers a caller by a planned shift', () => {
+  void test.it('steers a caller by a planned shift', () => {
     const {decisions} = bramleyrun;
     const shift = {
       fromRegion: 'aqaba',
@@ -85,7 +93,7 @@
     earl.expect(getRegion(0.6, 5000)).toEqual('aqaba');
   });
 
-  test.it('finds services by name and sends them messages', async () => {
+  void test.it('finds services by name and sends them messages', async () => {
     const {kernel} = bramleyrun;
     interface Greeting {
       readonly name: string;
--- a/test/programs/cli.test.ts
+++ b/test/programs/cli.test.ts
@@ -39,7 +39,7 @@
   });
 }
 
-test.describe('the command line', {timeout: 300_000}, () => {
+void test.describe('the command line', {timeout: 300_000}, () => {
   test.before(async () => {
     await deployment.start();
   });
@@ -48,29 +48,32 @@
     await deployment.stop();
   });
 
-  test.it('creates an organisation and a key that works at once', async () => {
-    const set = ['organisation', 'set', 'telavi', '--name', 'Telavi'];
-    const created = await run([...set, '--rate', '50', '--burst', '10']);
-    earl.expect(created.exitCode).toEqual(0);
-    const granted = await run([
-      'key',
-      'create',
-      'k1',
-      '--organisation',
-      'telavi',
-      '--json',
-    ]);
-    const {key} = JSON.parse(granted.text) as {readonly key: string};
-    const answer = await deployment.request('vm-1', '/look-up/x', {key});
-    earl.expect(answer.httpStatus).toEqual(200);
-    const shown = await run(['configuration', 'show']);
-    earl.expect(shown.text.includes(key)).toEqual(false);
-    await run(['key', 'withdraw', 'k1']);
-    const refused = await deployment.request('vm-2', '/look-up/x', {key});
-    earl.expect(refused.httpStatus).toEqual(401);
-  });
+  void test.it(
+    'creates an organisation and a key that works at once',
+    async () => {
+      const set = ['organisation', 'set', 'telavi', '--name', 'Telavi'];
+      const created = await run([...set, '--rate', '50', '--burst', '10']);
+      earl.expect(created.exitCode).toEqual(0);
+      const granted = await run([
+        'key',
+        'create',
+        'k1',
+        '--organisation',
+        'telavi',
+        '--json',
+      ]);
+      const {key} = JSON.parse(granted.text) as {readonly key: string};
+      const answer = await deployment.request('vm-1', '/look-up/x', {key});
+      earl.expect(answer.httpStatus).toEqual(200);
+      const shown = await run(['configuration', 'show']);
+      earl.expect(shown.text.includes(key)).toEqual(false);
+      await run(['key', 'withdraw', 'k1']);
+      const refused = await deployment.request('vm-2', '/look-up/x', {key});
+      earl.expect(refused.httpStatus).toEqual(401);
+    },
+  );
 
-  test.it('answers a race with the code of a conflict', async () => {
+  void test.it('answers a race with the code of a conflict', async () => {
     const {exitCode, text} = await run([
       'upstream',
       'drain',
@@ -82,19 +85,22 @@
     earl.expect(text.includes('versionConflict')).toEqual(true);
   });
 
-  test.it('checks a patch from standard input without a change', async () => {
-    const patch = '[{"op":"remove","path":"/upstreams/upstream-1"}]';
-    const checked = await run(['configuration', 'patch', '-', '--dry-run'], {
-      input: patch,
-    });
-    earl.expect(checked.text.includes('status=valid')).toEqual(true);
-    const diff = await run(['configuration', 'diff', '-'], {input: patch});
-    earl.expect(diff.text.includes('/upstreams/upstream-1')).toEqual(true);
-    const wrong = await run(['configuration', 'patch', '-'], {input: '{'});
-    earl.expect(wrong.exitCode).toEqual(65);
-  });
+  void test.it(
+    'checks a patch from standard input without a change',
+    async () => {
+      const patch = '[{"op":"remove","path":"/upstreams/upstream-1"}]';
+      const checked = await run(['configuration', 'patch', '-', '--dry-run'], {
+        input: patch,
+      });
+      earl.expect(checked.text.includes('status=valid')).toEqual(true);
+      const diff = await run(['configuration', 'diff', '-'], {input: patch});
+      earl.expect(diff.text.includes('/upstreams/upstream-1')).toEqual(true);
+      const wrong = await run(['configuration', 'patch', '-'], {input: '{'});
+      earl.expect(wrong.exitCode).toEqual(65);
+    },
+  );
 
-  test.it('lists VMs, status, steering and the audit trail', async () => {
+  void test.it('lists VMs, status, steering and the audit trail', async () => {
     const vms = await run(['vm', 'list', '--json']);
     earl.expect((JSON.parse(vms.text) as object[]).length).toEqual(3);
     const status = await run(['status']);
@@ -105,12 +111,12 @@
     earl.expect(history.text.includes('operator=tester')).toEqual(true);
   });
 
-  test.it('refuses a wrong token', async () => {
+  void test.it('refuses a wrong token', async () => {
     const {exitCode} = await run(['status'], {token: 'wrong'});
     earl.expect(exitCode).toEqual(77);
   });
 
-  test.it('settles an action whose outcome is unknown', async () => {
+  void test.it('settles an action whose outcome is unknown', async () => {
     const key = 'key-of-rustavi-0123456789abcdef';
     deployment.setUpstreamFaults({kind: 'dropAnswers'});
     const options = {key, method: 'POST' as const, idempotencyKey: 'i1'};
--- a/test/services/limits/LimitsTask.test.ts
+++ b/test/services/limits/LimitsTask.test.ts
@@ -40,23 +40,26 @@
   earl.expect(admitted.length / idealCount).toBeGreaterThanOrEqual(leastRatio);
 }
 
-test.describe('limits over seven VMs', () => {
-  test.it('admits as one bucket does while callers are steered', async () => {
-    const fleet = await startFleet(11);
-    for (const burst of BURSTS) {
-      const organisationId = getOrganisationId(burst);
-      fleet.addArrivals(
-        organisationId,
-        0.9 * RATE_PER_SECOND,
-        2 * MINUTE_MS,
-        () => fleet.getHomeIndex(organisationId),
-      );
-    }
-    await fleet.world.run(2 * MINUTE_MS + 2000);
-    for (const burst of BURSTS) checkAdmissions(fleet, burst, 0.995);
-  });
+void test.describe('limits over seven VMs', () => {
+  void test.it(
+    'admits as one bucket does while callers are steered',
+    async () => {
+      const fleet = await startFleet(11);
+      for (const burst of BURSTS) {
+        const organisationId = getOrganisationId(burst);
+        fleet.addArrivals(
+          organisationId,
+          0.9 * RATE_PER_SECOND,
+          2 * MINUTE_MS,
+          () => fleet.getHomeIndex(organisationId),
+        );
+      }
+      await fleet.world.run(2 * MINUTE_MS + 2000);
+      for (const burst of BURSTS) checkAdmissions(fleet, burst, 0.995);
+    },
+  );
 
-  test.it('stays within every window at five times the rate', async () => {
+  void test.it('stays within every window at five times the rate', async () => {
     const fleet = await startFleet(12);
     for (const burst of BURSTS)
       fleet.addArrivals(
@@ -70,7 +73,7 @@
 
   for (const storeFault of ['none', 'refuse'] as const)
     for (let killed = 0; killed < 7; killed += 1)
-      test.it(
+      void test.it(
         `admits 0.96 of one bucket in the minute after VM ${killed} is killed, store ${storeFault}`,
         async () => {
           const fleet = await startFleet(20 + killed);
