--- a/test/deployment/AtMostOnce.test.ts
+++ b/test/deployment/AtMostOnce.test.ts
@@ -41,6 +41,24 @@
   'storeLosesAnswers',
 ];
 
+/** Two faults at once, and the step at which they come. */
+interface FaultPair {
+  readonly step: StepName;
+  readonly first: FaultName;
+  readonly second: FaultName;
+}
+
+const PAIRS: readonly FaultPair[] = [
+  {step: 'claimWritten', first: 'killDaemon', second: 'storeRefuses'},
+  {step: 'claimWritten', first: 'freezeDaemon', second: 'cutUpstreams'},
+  {step: 'dispatched', first: 'killDaemon', second: 'cutUpstreams'},
+  {step: 'dispatched', first: 'freezeDaemon', second: 'storeLosesAnswers'},
+  {step: 'running', first: 'killDaemon', second: 'storeRefuses'},
+  {step: 'running', first: 'freezeDaemon', second: 'cutUpstreams'},
+  {step: 'answered', first: 'killDaemon', second: 'storeLosesAnswers'},
+  {step: 'answered', first: 'storeRefuses', second: 'cutUpstreams'},
+];
+
 const KEY = deploymentPlans.getKey('rustavi');
 const FIRST = 'vm-0';
 const SECOND = 'vm-1';
@@ -186,6 +204,26 @@
   if (texts.length > 0) earl.expect(started.length).toEqual(1);
 }
 
+/** Brings an action to a step, injects faults, sends it again elsewhere, heals and judges. */
+async function runCase(
+  idempotencyKey: string,
+  step: StepName,
+  faults: readonly FaultName[],
+): Promise<void> {
+  await hold(step);
+  const first = await reach(step, idempotencyKey);
+  for (const fault of faults) await inject(fault);
+  const second = await send(SECOND, idempotencyKey);
+  await heal();
+  const answers = [
+    ...(await Promise.all(first)),
+    second,
+    await send(SECOND, idempotencyKey),
+    await send(FIRST, idempotencyKey),
+  ];
+  judge(idempotencyKey, answers);
+}
+
 void test.describe(
   'an action that runs at most once',
   {timeout: 600_000},
@@ -200,21 +238,14 @@
 
     for (const step of STEPS)
       for (const fault of FAULTS)
-        void test.it(`${fault} at step ${step}`, async () => {
-          const idempotencyKey = `${step}-${fault}`;
-          await hold(step);
-          const first = await reach(step, idempotencyKey);
-          await inject(fault);
-          const second = await send(SECOND, idempotencyKey);
-          await heal();
-          const answers = [
-            ...(await Promise.all(first)),
-            second,
-            await send(SECOND, idempotencyKey),
-            await send(FIRST, idempotencyKey),
-          ];
-          judge(idempotencyKey, answers);
-        });
+        void test.it(`${fault} at step ${step}`, () =>
+          runCase(`${step}-${fault}`, step, [fault]),
+        );
+
+    for (const {step, first, second} of PAIRS)
+      void test.it(`${first} and ${second} at step ${step}`, () =>
+        runCase(`${step}-${first}-${second}`, step, [first, second]),
+      );
 
     void test.it('two VMs given the same key at once run it once', async () => {
       for (let round = 0; round < 20; round += 1) {
