Index the VMs for steering when one comes or goes

Cause: each decision filtered and rotated all VMs: 20.8, 72.9, 225, 167 and 365 us at 7, 70, 300, 1000 and 2400 VMs, which is 105% of a core at 2875 look-ups a second. Ruled out: the caller's position (4.7 us). After: 7.3, 9.8, 6.6, 7.5 and 8.0 us; 2.2% of a core at the target.

--- a/bench/capacity/main.ts
+++ b/bench/capacity/main.ts
@@ -104,8 +104,8 @@
 
 function measureSteering(): void {
   const points = [7, 70, 300, 1000, 2400].map(size => {
-    const vms = getVms(size);
-    const value = getMicroseconds(200, () => {
+    const vms = new decisions.VmIndex(getVms(size));
+    const value = getMicroseconds(2000, () => {
       const position = decisions.getPosition('10.1.2.3');
       decisions.decideSteering(
         {vms, region: 'region-3', homeProcessId: '', position},
@@ -117,7 +117,12 @@
   fits.printFit('steering, time', 'us', 'VM', points, TARGET.vms);
   const answers = [7, 70, 300, 1000, 2400].map(size => {
     const answer = decisions.decideSteering(
-      {vms: getVms(size), region: '', homeProcessId: '', position: 0},
+      {
+        vms: new decisions.VmIndex(getVms(size)),
+        region: '',
+        homeProcessId: '',
+        position: 0,
+      },
       0,
     );
     return {size, value: JSON.stringify(answer).length / 1000};
--- a/src/decisions/steering/decideSteering.ts
+++ b/src/decisions/steering/decideSteering.ts
@@ -1,4 +1,5 @@
 import type * as fleet from '../../model/fleet/index.js';
+import type * as indexes from './VmIndex.js';
 
 /** How long in milliseconds callers may keep an answer. */
 export const STEERING_TERM_MS = 3000;
@@ -9,7 +10,7 @@
 /** What the order of the VMs depends on. */
 export interface SteeringQuestion {
   /** VMs that are alive and not stopping, as seen from here. */
-  readonly vms: readonly fleet.VmRecord[];
+  readonly vms: indexes.VmIndex;
 
   /** The region that serves the caller. */
   readonly region: string;
@@ -42,29 +43,23 @@
   question: SteeringQuestion,
   nowMs: number,
 ): SteeringAnswer {
-  const home = question.vms.filter(
-    vm => vm.processId === question.homeProcessId,
-  );
-  const others = question.vms.filter(
-    vm => vm.processId !== question.homeProcessId,
-  );
-  const homeRegion = home[0]?.region;
-  const near = others.filter(vm => vm.region === question.region);
-  const far = others.filter(vm => vm.region !== question.region);
-  const farFirst = far.filter(vm => vm.region === homeRegion);
-  const farLast = far.filter(vm => vm.region !== homeRegion);
-  const choices = [
-    ...home.map(vm => getChoice(vm, 'organisationHome')),
-    ...rotate(near, question.position).map(vm => getChoice(vm, 'callerRegion')),
-    ...rotate(farFirst, question.position).map(vm =>
-      getChoice(vm, 'otherRegion'),
-    ),
-    ...rotate(farLast, question.position).map(vm =>
-      getChoice(vm, 'otherRegion'),
-    ),
-  ];
+  const {vms, region, homeProcessId, position} = question;
+  const home = vms.getByProcess(homeProcessId);
+  const choices = new Map<string, SteeringChoice>();
+  const add = (vm: fleet.VmRecord, reason: SteeringChoice['reason']) => {
+    if (choices.size < MAX_CHOICES && !choices.has(vm.processId))
+      choices.set(vm.processId, getChoice(vm, reason));
+  };
+  if (home !== undefined) add(home, 'organisationHome');
+  for (const vm of vms.getInRegion(region, position, MAX_CHOICES))
+    add(vm, 'callerRegion');
+  if (home !== undefined)
+    for (const vm of vms.getInRegion(home.region, position, MAX_CHOICES))
+      add(vm, 'otherRegion');
+  for (const vm of vms.getAnywhere(position, 2 * MAX_CHOICES))
+    add(vm, 'otherRegion');
   return {
-    choices: choices.slice(0, MAX_CHOICES),
+    choices: [...choices.values()],
     expiresAtMs: nowMs + STEERING_TERM_MS,
   };
 }
@@ -76,11 +71,3 @@
   const {vmId, callersAddress, region} = vm;
   return {vmId, callersAddress, region, reason};
 }
-
-function rotate(
-  vms: readonly fleet.VmRecord[],
-  position: number,
-): readonly fleet.VmRecord[] {
-  const start = Math.floor(position * vms.length);
-  return [...vms.slice(start), ...vms.slice(0, start)];
-}
--- a/src/decisions/steering/index.ts
+++ b/src/decisions/steering/index.ts
@@ -2,3 +2,4 @@
 export * from './decideSteering.js';
 export * from './getPosition.js';
 export * from './getShiftedRegion.js';
+export * from './VmIndex.js';
--- a/src/services/callers/CallersTask.ts
+++ b/src/services/callers/CallersTask.ts
@@ -88,6 +88,7 @@
         return;
       case 'fleetChanged':
         this.view = message.view;
+        this.desk.setView(message.view);
         return;
       case 'getAddress':
         message.reply(this.listener.getAddress());
@@ -151,7 +152,8 @@
   ): decisions.SteeringAnswer {
     const nowMs = this.getContext().clock.wallMs();
     if (this.view === undefined) return {choices: [], expiresAtMs: nowMs};
-    return this.desk.steer(this.view, clientAddress, organisationId, nowMs);
+    const {region} = this.view.self;
+    return this.desk.steer(region, clientAddress, organisationId, nowMs);
   }
 
   private async handle(
--- a/src/services/callers/SteeringDesk.ts
+++ b/src/services/callers/SteeringDesk.ts
@@ -13,6 +13,9 @@
   private regions: readonly string[] = [];
   private blocks = new decisions.BlockTable([]);
   private shifts: readonly configurations.Shift[] = [];
+  private vms = new decisions.VmIndex([]);
+  private vmsKey = '';
+  private homes: readonly decisions.HomeCandidate[] = [];
 
   /** Takes in a version of the configuration. */
   update(document: configurations.ConfigurationDocument): void {
@@ -24,15 +27,27 @@
     this.shifts = Object.values(document.shifts);
   }
 
-  /** Gets the VMs for a caller at the wall-clock time `nowMs`. */
+  /** Takes in a view of the fleet; the index changes only when VMs come or go. */
+  setView(view: fleetViews.FleetView): void {
+    this.homes = view.liveHolders.filter(holder => !holder.isStopping);
+    const sorted = [...view.servingVms].sort((a, b) =>
+      a.processId < b.processId ? -1 : 1,
+    );
+    const vmsKey = sorted.map(vm => vm.processId).join();
+    if (vmsKey === this.vmsKey) return;
+    this.vmsKey = vmsKey;
+    this.vms = new decisions.VmIndex(sorted);
+  }
+
+  /** Gets the VMs for a caller, who counts as of `ownRegion` when no block holds the address, at the wall-clock time `nowMs`. */
   steer(
-    view: fleetViews.FleetView,
+    ownRegion: string,
     clientAddress: string,
     organisationId: string,
     nowMs: number,
   ): decisions.SteeringAnswer {
     const position = decisions.getPosition(clientAddress);
-    const homeRegion = this.getRegion(clientAddress) ?? view.self.region;
+    const homeRegion = this.getRegion(clientAddress) ?? ownRegion;
     const region = decisions.getShiftedRegion(
       this.shifts,
       homeRegion,
@@ -42,12 +57,9 @@
     const home =
       organisationId === ''
         ? undefined
-        : decisions.getHome(
-            organisationId,
-            view.liveHolders.filter(holder => !holder.isStopping),
-          );
+        : decisions.getHome(organisationId, this.homes);
     const question: decisions.SteeringQuestion = {
-      vms: view.servingVms,
+      vms: this.vms,
       region,
       homeProcessId: home?.processId ?? '',
       position,
--- a/test/decisions/steering/steering.test.ts
+++ b/test/decisions/steering/steering.test.ts
@@ -109,7 +109,9 @@
 });
 
 void test.describe('decideSteering', () => {
-  const vms = Array.from({length: 7}, (_, index) => getVm(index));
+  const vms = new decisions.VmIndex(
+    Array.from({length: 7}, (_, index) => getVm(index)),
+  );
 
   void test.it(
     'names the home of the organisation first, then the region',
