Remove what nobody uses and define a run once

A claim's holder is asked by attempt and process; the row's key in that message was always empty. A function of the quarantine had no caller. The upstream stand-in and the deployment had the same record type twice.

--- a/src/codecs/peers/peerSchemas.ts
+++ b/src/codecs/peers/peerSchemas.ts
@@ -50,7 +50,6 @@
     }),
     zod.strictObject({
       kind: zod.literal('askClaim'),
-      rowKey: zod.string(),
       attemptId: zod.string(),
       processId: zod.string(),
     }),
--- a/src/decisions/retries/Quarantine.ts
+++ b/src/decisions/retries/Quarantine.ts
@@ -60,13 +60,3 @@
   if (suspicion === undefined || suspicion.untilMs <= nowMs) return false;
   return suspicion.upstreamIds.length >= MAX_BROKEN_UPSTREAMS;
 }
-
-/** Whether a request has broken any upstream lately. */
-export function isSuspect(
-  quarantine: Quarantine,
-  requestDigestHex: string,
-  nowMs: number,
-): boolean {
-  const suspicion = quarantine.get(requestDigestHex);
-  return suspicion !== undefined && suspicion.untilMs > nowMs;
-}
--- a/src/model/peers/PeerMessage.ts
+++ b/src/model/peers/PeerMessage.ts
@@ -76,7 +76,6 @@
     }
   | {
       readonly kind: 'askClaim';
-      readonly rowKey: string;
       readonly attemptId: string;
       readonly processId: string;
     }
--- a/src/services/operations/OperationsTask.ts
+++ b/src/services/operations/OperationsTask.ts
@@ -303,7 +303,7 @@
       .ask<peersService.CallResult>(reply => ({
         kind: 'call',
         peersAddress: claim.peersAddress,
-        request: {kind: 'askClaim', rowKey: '', attemptId, processId},
+        request: {kind: 'askClaim', attemptId, processId},
         deadlineMs,
         reply,
       }));
--- a/standins/deployment/Deployment.ts
+++ b/standins/deployment/Deployment.ts
@@ -11,8 +11,11 @@
 import type * as daemons from '../../src/programs/daemon/Daemon.js';
 import * as processes from '../processes/ManagedProcess.js';
 import * as proxies from '../proxy/FaultProxy.js';
+import type * as runs from '../upstream/Run.js';
 import * as plans from './DeploymentPlan.js';
 
+export type {Run} from '../upstream/Run.js';
+
 const BUILD = path.resolve(
   path.dirname(url.fileURLToPath(import.meta.url)),
   '../..',
@@ -47,18 +50,6 @@
   readonly proxy: proxies.FaultProxy;
 }
 
-/** A run as an upstream printed it. */
-export interface Run {
-  readonly run: 'started' | 'finished' | 'cancelled';
-  readonly upstreamId: string;
-  readonly requestId: string;
-  readonly idempotencyKey: string;
-  readonly organisationId: string;
-  readonly target: string;
-  readonly atMs: number;
-  readonly seen: string;
-}
-
 /** Daemons, upstreams and a platform as processes, with fault proxies between them. */
 export class Deployment {
   private readonly plan: plans.DeploymentPlan;
@@ -148,9 +139,11 @@
   }
 
   /** Gets all that the upstreams ran, as far as it has come here. */
-  getRuns(): readonly Run[] {
+  getRuns(): readonly runs.Run[] {
     return this.getUpstreams().flatMap(upstream =>
-      upstream.process.getLines().filter((line): line is Run => 'run' in line),
+      upstream.process
+        .getLines()
+        .filter((line): line is runs.Run => 'run' in line),
     );
   }
 
--- a/standins/upstream/main.ts
+++ b/standins/upstream/main.ts
@@ -1,18 +1,6 @@
 import * as http from 'node:http';
 import * as announce from '../processes/announce.js';
-
-/** A request as the stand-in ran it; it is printed when the run starts and when it ends. */
-interface RunRecord {
-  readonly run: 'started' | 'finished' | 'cancelled';
-  readonly upstreamId: string;
-  readonly requestId: string;
-  readonly idempotencyKey: string;
-  readonly organisationId: string;
-  readonly target: string;
-  readonly atMs: number;
-  /** All that came in, so that tests can look for what must not be there. */
-  readonly seen: string;
-}
+import type * as runs from './Run.js';
 
 interface Work {
   readonly request: http.IncomingMessage;
@@ -53,10 +41,10 @@
   return deadlineMs > 0 && Date.now() > deadlineMs;
 }
 
-function record(work: Work, run: RunRecord['run']): void {
+function record(work: Work, run: runs.Run['run']): void {
   if (!isRecording) return;
   const {request, body} = work;
-  const line: RunRecord = {
+  const line: runs.Run = {
     run,
     upstreamId,
     requestId: getHeader(request, 'x-bramleyrun-request-id'),
