--- a/eslint.config.js
+++ b/eslint.config.js
@@ -52,7 +52,7 @@
 }
 
 export default [
-  {ignores: ['build/', 'node_modules/']},
+  {ignores: ['build/', 'node_modules/', 'target/']},
   ...gts,
   {files: ['**/*.js'], languageOptions: {sourceType: 'module'}},
   {
--- /dev/null
+++ b/src/codecs/entry/index.ts
@@ -0,0 +1,1 @@
+export * from './WireCodec.js';
--- a/src/codecs/index.ts
+++ b/src/codecs/index.ts
@@ -1,6 +1,8 @@
 /** Wire and storage forms; they decide nothing. */
 export * from './configuration/index.js';
+export * from './entry/index.js';
 export * from './http/index.js';
+export * from './members/index.js';
 export * from './operators/index.js';
 export * from './peers/index.js';
 export * from './platform/index.js';
--- /dev/null
+++ b/src/codecs/members/index.ts
@@ -0,0 +1,3 @@
+export * from './memberStatus.js';
+export * from './socketAddress.js';
+export * from './knowledgeSchemas.js';
--- /dev/null
+++ b/src/codecs/members/knowledgeSchemas.ts
@@ -0,0 +1,86 @@
+import * as zod from 'zod';
+import type * as entry from '../../model/entry/index.js';
+
+const routeSchema: zod.ZodType<entry.EntryRoute> = zod.strictObject({
+  routeId: zod.string(),
+  host: zod.string(),
+  pathPrefix: zod.string(),
+  execution: zod.enum(['idempotent', 'atMostOnce']),
+  access: zod.enum(['open', 'keyed']),
+  destination: zod.discriminatedUnion('kind', [
+    zod.strictObject({
+      kind: zod.literal('service'),
+      serviceId: zod.string(),
+    }),
+    zod.strictObject({
+      kind: zod.literal('split'),
+      parts: zod.array(
+        zod.strictObject({serviceId: zod.string(), weight: zod.number()}),
+      ),
+    }),
+  ]),
+  timeLimitMs: zod.number(),
+  objectiveMs: zod.number(),
+  priority: zod.number(),
+  maxUpstreams: zod.number(),
+  hasObjects: zod.boolean(),
+  homeRegions: zod.array(zod.string()),
+});
+
+const configurationSchema: zod.ZodType<entry.EntryConfiguration> =
+  zod.strictObject({
+    version: zod.number(),
+    routes: zod.array(routeSchema),
+    services: zod.array(
+      zod.strictObject({
+        serviceId: zod.string(),
+        maxConnections: zod.number(),
+        coldMs: zod.number(),
+        coldRatePerSecond: zod.number(),
+      }),
+    ),
+    organisations: zod.array(
+      zod.strictObject({
+        organisationId: zod.string(),
+        keys: zod.array(zod.string()),
+        priority: zod.union([zod.number(), zod.undefined()]),
+        ratePerSecond: zod.number(),
+        burstRequests: zod.number(),
+        homeRegions: zod.array(zod.string()),
+      }),
+    ),
+    callerLimits: zod.strictObject({
+      maxBodyBytes: zod.number(),
+      headerTimeoutMs: zod.number(),
+      idleTimeoutMs: zod.number(),
+    }),
+    hasOrganisations: zod.boolean(),
+  }) as zod.ZodType<entry.EntryConfiguration>;
+
+/** The schema of the operators' rows as peers pass them on. */
+export const operatorRowsSchema: zod.ZodType<entry.OperatorRows> =
+  zod.strictObject({
+    tableVersion: zod.number(),
+    configuration: configurationSchema,
+    evacuatedDomains: zod.array(zod.string()),
+  });
+
+/** The schema of the upstreams' entries as peers pass them on. */
+export const upstreamRowsSchema: zod.ZodType<entry.UpstreamRows> =
+  zod.strictObject({
+    tableVersion: zod.number(),
+    upstreams: zod.array(
+      zod.strictObject({
+        upstreamId: zod.string(),
+        serviceId: zod.string(),
+        host: zod.string(),
+        port: zod.number(),
+        region: zod.string(),
+        failureDomain: zod.string(),
+        slotCount: zod.number(),
+        state: zod.enum(['ready', 'draining']),
+        coldRemainingMs: zod.number(),
+        startedAtMs: zod.number(),
+      }),
+    ),
+  });
--- /dev/null
+++ b/src/codecs/members/memberStatus.ts
@@ -0,0 +1,86 @@
+import * as jsonRpc from 'json-rpc-2.0';
+import * as zod from 'zod';
+import type * as entry from '../../model/entry/index.js';
+import * as schemas from '../schemas/index.js';
+
+const METHOD = 'status';
+
+/** Demands are rounded to a tenth, which is well below what they decide. */
+const DEMAND_SCALE = 10;
+
+const demandsSchema = zod.array(zod.tuple([zod.string(), zod.number().min(0)]));
+
+/** Short names, as every VM sends this to every other each second. */
+const statusSchema = zod.strictObject({
+  v: zod.string(),
+  p: zod.string(),
+  r: zod.string(),
+  d: zod.string(),
+  c: zod.string(),
+  a: zod.string(),
+  l: zod.boolean().optional(),
+  o: zod.int().min(0),
+  u: zod.int().min(0),
+  q: demandsSchema.optional(),
+  s: demandsSchema.optional(),
+});
+
+/** Gets the datagram in which a VM tells its peers of itself. */
+export function encodeMemberStatus(status: entry.MemberStatus): Uint8Array {
+  const {member} = status;
+  const params: zod.infer<typeof statusSchema> = {
+    v: member.vmId,
+    p: member.processId,
+    r: member.region,
+    d: member.failureDomain,
+    c: member.callersAddress,
+    a: member.peersAddress,
+    ...(status.isLeaving ? {l: true} : {}),
+    o: status.operatorRowsVersion,
+    u: status.upstreamRowsVersion,
+    q: status.organisationDemands.map(demand => [
+      demand.organisationId,
+      round(demand.ratePerSecond),
+    ]),
+    s: status.serviceDemands.map(demand => [
+      demand.serviceId,
+      round(demand.busySlots),
+    ]),
+  };
+  return Buffer.from(
+    JSON.stringify({jsonrpc: jsonRpc.JSONRPC, method: METHOD, params}),
+  );
+}
+
+/** Gets a VM's status. @throws BramleyrunError of kind invalidPeerMessage. */
+export function decodeMemberStatus(bytes: Uint8Array): entry.MemberStatus {
+  const {params} = schemas.parseJsonOrThrow(
+    zod.object({method: zod.literal(METHOD), params: statusSchema}),
+    Buffer.from(bytes).toString('utf8'),
+    'invalidPeerMessage',
+  );
+  return {
+    member: {
+      vmId: params.v,
+      processId: params.p,
+      region: params.r,
+      failureDomain: params.d,
+      callersAddress: params.c,
+      peersAddress: params.a,
+    },
+    isLeaving: params.l ?? false,
+    operatorRowsVersion: params.o,
+    upstreamRowsVersion: params.u,
+    organisationDemands: (params.q ?? []).map(
+      ([organisationId, ratePerSecond]) => ({organisationId, ratePerSecond}),
+    ),
+    serviceDemands: (params.s ?? []).map(([serviceId, busySlots]) => ({
+      serviceId,
+      busySlots,
+    })),
+  };
+}
+
+function round(value: number): number {
+  return Math.round(value * DEMAND_SCALE) / DEMAND_SCALE;
+}
--- a/src/codecs/peers/peerSchemas.ts
+++ b/src/codecs/peers/peerSchemas.ts
@@ -1,6 +1,7 @@
 import * as zod from 'zod';
 import type * as peers from '../../model/peers/index.js';
 import * as configuration from '../configuration/index.js';
+import * as members from '../members/index.js';
 import * as rows from '../rows/index.js';
 
 const statusSchema: zod.ZodType<peers.PeerStatus> = zod.strictObject({
@@ -59,6 +60,7 @@
       upstreamId: zod.string(),
     }),
     zod.strictObject({kind: zod.literal('getSharedState')}),
+    zod.strictObject({kind: zod.literal('getKnowledge')}),
   ]);
 
 const claimReportSchema: zod.ZodType<peers.ClaimReport> =
@@ -93,4 +95,9 @@
       configuration: configuration.configurationSchema,
       fleetMap: rows.fleetMapSchema.optional(),
     }),
+    zod.strictObject({
+      kind: zod.literal('knowledge'),
+      operatorRows: members.operatorRowsSchema.optional(),
+      upstreamRows: members.upstreamRowsSchema.optional(),
+    }),
   ]);
--- /dev/null
+++ b/src/decisions/discovery/index.ts
@@ -0,0 +1,2 @@
+export * from './mergeUpstreams.js';
+export * from './applyOperatorChanges.js';
--- /dev/null
+++ b/src/decisions/membership/index.ts
@@ -0,0 +1,2 @@
+export * from './chooseEntryVms.js';
+export * from './MemberTable.js';
--- /dev/null
+++ b/src/decisions/pacing/index.ts
@@ -0,0 +1,1 @@
+export * from './ColdPace.js';
--- a/src/decisions/retries/index.ts
+++ b/src/decisions/retries/index.ts
@@ -1,2 +1,3 @@
 export * from './Quarantine.js';
 export * from './RetryBudget.js';
+export * from './ServiceRetryBudget.js';
--- /dev/null
+++ b/src/decisions/routing/RouteIndex.ts
@@ -0,0 +1,33 @@
+import type * as entry from '../../model/entry/index.js';
+
+/** Finds routes by host and longest path prefix. */
+export class RouteIndex {
+  private readonly byHost = new Map<
+    string,
+    ReadonlyMap<string, entry.EntryRoute>
+  >();
+
+  /** @param routes The routes of one version of the configuration. */
+  constructor(routes: readonly entry.EntryRoute[]) {
+    const byHost = new Map<string, Map<string, entry.EntryRoute>>();
+    for (const route of routes) {
+      const ofHost = byHost.get(route.host) ?? new Map();
+      byHost.set(route.host, ofHost.set(route.pathPrefix, route));
+    }
+    this.byHost = byHost;
+  }
+
+  /** Gets the route of a host with the longest prefix that begins the path, or nothing. */
+  find(host: string, path: string): entry.EntryRoute | undefined {
+    const ofHost = this.byHost.get(host);
+    if (ofHost === undefined) return undefined;
+    // Every prefix ends with a slash, so only the cuts after slashes can match.
+    let end = path.lastIndexOf('/');
+    while (end >= 0) {
+      const route = ofHost.get(path.slice(0, end + 1));
+      if (route !== undefined) return route;
+      end = end === 0 ? -1 : path.lastIndexOf('/', end - 1);
+    }
+    return undefined;
+  }
+}
--- /dev/null
+++ b/src/decisions/routing/index.ts
@@ -0,0 +1,2 @@
+export * from './decideEntry.js';
+export * from './RouteIndex.js';
--- /dev/null
+++ b/src/decisions/shares/index.ts
@@ -0,0 +1,2 @@
+export * from './getLimitShare.js';
+export * from './TokenBucket.js';
--- /dev/null
+++ b/src/model/entry/EntrySettings.ts
@@ -0,0 +1,43 @@
+/** An IP address and a TCP port. */
+export interface SocketAddress {
+  readonly host: string;
+  readonly port: number;
+}
+
+/** The bounds within which what was learned must be acted on. */
+export interface EntryBounds {
+  /** How soon a leaving upstream gets nothing more, in milliseconds. */
+  readonly drainMs: number;
+
+  /** How long a stopping process may finish its requests, in milliseconds. */
+  readonly gracePeriodMs: number;
+
+  /** Sends beyond the first that a service may get for each request. */
+  readonly retryRatio: number;
+
+  /** Sends beyond the first that a service may get on top, in each window. */
+  readonly retrySlack: number;
+
+  /** The window of the retry bound, in milliseconds. */
+  readonly retryWindowMs: number;
+
+  /** The longest time for which callers keep a steering answer, in milliseconds. */
+  readonly steeringTermMs: number;
+}
+
+/** What an entry VM's process learns at its start. */
+export interface EntrySettings {
+  readonly vmId: string;
+  readonly region: string;
+  readonly failureDomain: string;
+
+  /** The region of each failure domain. */
+  readonly regions: ReadonlyMap<string, string>;
+
+  readonly callers: SocketAddress;
+  readonly readiness: SocketAddress;
+  readonly steering: SocketAddress;
+  readonly peers: SocketAddress;
+  readonly metrics: SocketAddress;
+  readonly bounds: EntryBounds;
+}
--- a/src/model/index.ts
+++ b/src/model/index.ts
@@ -1,5 +1,6 @@
 /** The read-only types that all other folders share. */
 export * from './configuration/index.js';
+export * from './entry/index.js';
 export * from './errors/index.js';
 export * from './fleet/index.js';
 export * from './operations/index.js';
--- a/src/model/peers/PeerMessage.ts
+++ b/src/model/peers/PeerMessage.ts
@@ -1,3 +1,4 @@
+import type * as entry from '../entry/index.js';
 import type * as configurations from '../configuration/index.js';
 import type * as fleet from '../fleet/index.js';
 import type * as operations from '../operations/index.js';
@@ -84,7 +85,8 @@
       readonly requestDigestHex: string;
       readonly upstreamId: string;
     }
-  | {readonly kind: 'getSharedState'};
+  | {readonly kind: 'getSharedState'}
+  | {readonly kind: 'getKnowledge'};
 
 /** What one daemon answers another. */
 export type PeerAnswer =
@@ -101,4 +103,9 @@
       readonly kind: 'sharedState';
       readonly configuration: configurations.Configuration;
       readonly fleetMap?: fleet.FleetMap | undefined;
+    }
+  | {
+      readonly kind: 'knowledge';
+      readonly operatorRows?: entry.OperatorRows | undefined;
+      readonly upstreamRows?: entry.UpstreamRows | undefined;
     };
--- /dev/null
+++ b/src/programs/entry/index.ts
@@ -0,0 +1,2 @@
+export * from './EntryDaemon.js';
+export * from './runEntryDaemon.js';
--- /dev/null
+++ b/src/services/dispatch/DispatchTask.ts
@@ -0,0 +1,521 @@
+import * as pureRand from 'pure-rand';
+import type * as codecs from '../../codecs/entry/index.js';
+import * as decisions from '../../decisions/index.js';
+import type * as entry from '../../model/entry/index.js';
+import * as errors from '../../model/errors/index.js';
+import * as base from '../base/index.js';
+import * as knowledgeService from '../knowledge/KnowledgeMessage.js';
+import * as membersService from '../members/MembersMessage.js';
+import type * as messages from './DispatchMessage.js';
+import * as regions from './RegionBalance.js';
+import * as registers from './UpstreamRegister.js';
+import type * as connections from './UpstreamConnections.js';
+
+/** How often in milliseconds demand is measured and shares move. */
+const TICK_MS = 250;
+
+/** Time in milliseconds that is left for the answer's way back to the caller. */
+const RETURN_MS = 20;
+
+/** The least time in milliseconds for which a request is still sent to an upstream. */
+const MIN_SEND_MS = 30;
+
+/** Pause in milliseconds that a refused caller is asked to make at least, and how far it is spread. */
+const RETRY_MS = 250;
+const RETRY_SPREAD_MS = 350;
+
+/** The average answer time in milliseconds that is assumed before any was measured. */
+const FIRST_WORK_MS = 250;
+
+/** The weight of the newest answer time in the average. */
+const WORK_WEIGHT = 0.05;
+
+const RANDOM_RANGE = 2 ** 30;
+
+/** What is known of one service. */
+interface ServiceState {
+  readonly service: entry.EntryService;
+  readonly retryBudget: decisions.ServiceRetryBudget;
+
+  /** The average time in milliseconds in which an upstream with a free slot answers. */
+  readonly workMs: number;
+}
+
+/** What the dispatch service is told when it is made. */
+export interface DispatchOptions {
+  readonly region: string;
+  readonly bounds: entry.EntryBounds;
+  readonly codec: codecs.WireCodec;
+  readonly seed: number;
+}
+
+/** Owns the connections to all upstreams; chooses one for each request and brings back its answer. */
+export class DispatchTask extends base.ServiceTask<messages.DispatchMessage> {
+  private readonly options: DispatchOptions;
+  private readonly register: registers.UpstreamRegister;
+  private readonly balance: regions.RegionBalance;
+  private readonly services = new Map<string, ServiceState>();
+  private readonly random: pureRand.RandomGenerator;
+  private configuration: entry.EntryConfiguration | undefined;
+  private view: membersService.MembersChanged | undefined;
+  private hasUpstreams = false;
+
+  /** @param options Where this VM is and how it speaks to upstreams. */
+  constructor(options: DispatchOptions) {
+    super();
+    this.options = options;
+    this.register = new registers.UpstreamRegister(options.codec);
+    this.balance = new regions.RegionBalance(options.region, this.register);
+    this.random = pureRand.xoroshiro128plus(options.seed);
+  }
+
+  protected override async onStart(): Promise<void> {
+    const subscriber = this.getAddress();
+    const knowledge = this.getService(knowledgeService.KNOWLEDGE);
+    knowledge.post({kind: 'subscribeOperatorRows', subscriber});
+    knowledge.post({kind: 'subscribeUpstreamRows', subscriber});
+    this.getService(membersService.MEMBERS).post({
+      kind: 'subscribe',
+      subscriber,
+    });
+    this.postEvery(TICK_MS, {kind: 'tick'});
+  }
+
+  protected override async onStop(): Promise<void> {
+    await this.register.close();
+  }
+
+  protected override receive(message: messages.DispatchMessage): void {
+    switch (message.kind) {
+      case 'operatorRowsChanged':
+        this.setOperatorRows(message.rows);
+        return;
+      case 'upstreamRowsChanged':
+        this.setUpstreams(message.upstreams, message.readAtMs);
+        return;
+      case 'membersChanged':
+        this.view = message;
+        return;
+      case 'dispatch':
+        void this.run(message.dispatch).then(message.reply);
+        return;
+      case 'tick':
+        this.tick();
+        return;
+      default:
+        errors.throwUnreachable(message);
+    }
+  }
+
+  private setOperatorRows(rows: entry.OperatorRows): void {
+    const nowMs = this.nowMs();
+    if (rows.configuration !== this.configuration) {
+      this.configuration = rows.configuration;
+      for (const service of rows.configuration.services) {
+        const known = this.services.get(service.serviceId);
+        this.services.set(service.serviceId, {
+          retryBudget: decisions.startRetryBudget(this.getRetryBounds(), nowMs),
+          workMs: FIRST_WORK_MS,
+          ...known,
+          service,
+        });
+      }
+    }
+    const returned = this.register.setEvacuated(rows.evacuatedDomains);
+    for (const {state} of this.register.getAll())
+      if (returned.includes(state.record.failureDomain))
+        this.setCold(state.record, this.getColdMs(state.record.serviceId));
+  }
+
+  private setUpstreams(
+    upstreams: readonly entry.UpstreamRecord[],
+    readAtMs: number,
+  ): void {
+    const events = this.register.setRecords(upstreams);
+    for (const event of events) this.noteEvent(event);
+    const sinceReadMs = this.nowMs() - readAtMs;
+    for (const record of upstreams)
+      if (record.coldRemainingMs > sinceReadMs)
+        this.setCold(record, record.coldRemainingMs - sinceReadMs);
+    this.hasUpstreams = true;
+  }
+
+  private noteEvent(event: registers.RegisterEvent): void {
+    const {upstreamId, serviceId, state} = event.record;
+    const fields = {upstream: upstreamId, service: serviceId, state};
+    switch (event.kind) {
+      case 'added':
+        if (this.hasUpstreams) {
+          this.log('info', 'upstreamAdded', fields);
+          this.setCold(event.record, this.getNewColdMs(event.record));
+        }
+        return;
+      case 'changed':
+        this.log('info', 'upstreamChanged', fields);
+        return;
+      case 'removed':
+        this.log('info', 'upstreamRemoved', fields);
+        return;
+      default:
+        errors.throwUnreachable(event);
+    }
+  }
+
+  private setCold(record: entry.UpstreamRecord, coldMs: number): void {
+    if (coldMs <= 0) return;
+    const nowMs = this.nowMs();
+    this.register
+      .get(record.upstreamId)
+      ?.state.setCold(nowMs + coldMs, this.getRandom(), nowMs);
+  }
+
+  /** Gets how long an upstream that has just appeared stays cold: its whole term, less its known age. */
+  private getNewColdMs(record: entry.UpstreamRecord): number {
+    const coldMs = this.getColdMs(record.serviceId);
+    if (record.startedAtMs <= 0) return coldMs;
+    const ageMs = this.getContext().clock.wallMs() - record.startedAtMs;
+    return coldMs - Math.min(coldMs, Math.max(0, ageMs));
+  }
+
+  private getColdMs(serviceId: string): number {
+    return this.services.get(serviceId)?.service.coldMs ?? 0;
+  }
+
+  private tick(): void {
+    const serviceIds = [...this.services.keys()];
+    this.balance.update(serviceIds, this.view?.statuses ?? [], this.nowMs());
+    this.getService(membersService.MEMBERS).post({
+      kind: 'setServiceDemands',
+      demands: this.balance.getOwnDemands(),
+    });
+  }
+
+  private async run(
+    dispatch: messages.EntryDispatch,
+  ): Promise<messages.DispatchOutcome> {
+    const {route, request} = dispatch;
+    const serviceId = decisions.chooseService(
+      route,
+      request.objectKey,
+      this.getRandom(),
+    );
+    this.earnRetries(serviceId);
+    const tried: string[] = [];
+    let failure: Failure | undefined;
+    while (tried.length < Math.max(1, route.maxUpstreams)) {
+      const remainingMs = dispatch.deadlineMs - RETURN_MS - this.nowMs();
+      if (remainingMs < MIN_SEND_MS) break;
+      if (tried.length > 0 && !this.takeRepeat(serviceId)) break;
+      const placement = this.place(dispatch, serviceId, tried, remainingMs);
+      if (placement.kind !== 'chosen') {
+        failure = getWorse(failure, getPlacementFailure(placement));
+        break;
+      }
+      tried.push(placement.upstreamId);
+      const result = await this.send(
+        dispatch,
+        placement.upstreamId,
+        remainingMs,
+      );
+      const step = this.decideStep(dispatch, placement.upstreamId, result);
+      if (step.kind === 'answered') return step;
+      failure = getWorse(failure, step.failure);
+      if (step.kind === 'finish') break;
+      this.logRetry(dispatch, placement.upstreamId, result.kind);
+    }
+    return this.getOutcome(failure ?? TOO_LATE);
+  }
+
+  private place(
+    dispatch: messages.EntryDispatch,
+    serviceId: string,
+    tried: readonly string[],
+    remainingMs: number,
+  ): decisions.Placement {
+    const {route, request, organisation} = dispatch;
+    const state = this.services.get(serviceId);
+    const nowMs = this.nowMs();
+    const coldRate =
+      (state?.service.coldRatePerSecond ?? 0) / this.getMemberCount();
+    const ranked = this.register.rank({
+      serviceId,
+      objectName:
+        request.objectKey === ''
+          ? ''
+          : `${route.pathPrefix}${request.objectKey}`,
+      homeRegions: decisions.getHomeRegions(route, organisation),
+      random: this.getRandom(),
+    });
+    const views: decisions.PlacementView[] = [];
+    for (const upstreamId of ranked) {
+      if (tried.includes(upstreamId)) continue;
+      const upstream = this.register.get(upstreamId);
+      if (upstream !== undefined)
+        views.push(upstream.state.getView(coldRate, nowMs));
+    }
+    const maxLoad = remainingMs / (state?.workMs ?? FIRST_WORK_MS);
+    const placement = decisions.choosePlacement(views, maxLoad);
+    if (placement.kind === 'chosen')
+      this.count(
+        placement.upstreamId === ranked[0]
+          ? 'placements_first'
+          : 'placements_other',
+      );
+    return placement;
+  }
+
+  private async send(
+    dispatch: messages.EntryDispatch,
+    upstreamId: string,
+    remainingMs: number,
+  ): Promise<connections.SendResult> {
+    const upstream = this.register.get(upstreamId);
+    if (upstream === undefined) return {kind: 'notSent', reason: 'gone'};
+    const {request, route, organisation, abandoned} = dispatch;
+    const {state} = upstream;
+    const startedAtMs = this.nowMs();
+    const wasFree =
+      state.getBusyCount(startedAtMs) < state.record.slotCount;
+    const sendId = state.addSend(startedAtMs);
+    this.balance.addInFlight(state.record.serviceId, 1, startedAtMs);
+    const result = await upstream.connections.send({
+      request,
+      headers: this.options.codec.encodeDispatch(request.headers, {
+        upstreamId,
+        organisationId: organisation?.organisationId,
+        remainingMs: Math.floor(remainingMs),
+      }),
+      remainingMs,
+      isFreshOnly:
+        route.execution === 'atMostOnce' && state.isSpoilt(startedAtMs),
+      abandoned,
+    });
+    const endedAtMs = this.nowMs();
+    this.balance.addInFlight(state.record.serviceId, -1, endedAtMs);
+    this.observe('upstream_ms', endedAtMs - startedAtMs);
+    if (result.kind === 'answered' && wasFree)
+      this.addWork(state.record.serviceId, endedAtMs - startedAtMs);
+    this.noteResult(upstream, result, endedAtMs);
+    state.endSend(sendId);
+    return result;
+  }
+
+  private noteResult(
+    {state}: registers.RegisteredUpstream,
+    result: connections.SendResult,
+    nowMs: number,
+  ): void {
+    switch (result.kind) {
+      case 'answered':
+        state.addAnswer(result.load, nowMs);
+        return;
+      case 'shed':
+        state.addShed(result.load, nowMs);
+        return;
+      case 'misdirected':
+        state.setMisdirected();
+        this.logAvoided(state.upstreamId, result.kind);
+        return;
+      case 'garbled':
+        state.addAnswer(undefined, nowMs);
+        state.addSpoilt(nowMs);
+        this.count('answers_discarded');
+        return;
+      case 'broken':
+        state.addAnswer(undefined, nowMs);
+        state.addSpoilt(nowMs);
+        return;
+      case 'notSent':
+      case 'timedOut':
+        state.addFailure(nowMs);
+        this.logAvoided(state.upstreamId, result.kind);
+        return;
+      case 'abandoned':
+        return;
+      default:
+        errors.throwUnreachable(result);
+    }
+  }
+
+  /** Decides whether another upstream may be tried. */
+  private decideStep(
+    dispatch: messages.EntryDispatch,
+    upstreamId: string,
+    result: connections.SendResult,
+  ): Step {
+    const mayRepeat = dispatch.route.execution === 'idempotent';
+    switch (result.kind) {
+      case 'answered':
+        return {kind: 'answered', answer: result.answer};
+      case 'shed':
+        return retry('notRun', 'upstreamShed', `${upstreamId} was full`);
+      case 'misdirected':
+        return retry('notRun', 'noUpstream', `${upstreamId} has left`);
+      case 'notSent':
+        return retry(
+          'notRun',
+          'noUpstream',
+          `${upstreamId} could not be reached: ${result.reason}`,
+        );
+      case 'broken':
+        return getUnknownStep(
+          mayRepeat,
+          `${upstreamId} broke off: ${result.reason}`,
+        );
+      case 'garbled':
+        return getUnknownStep(
+          mayRepeat,
+          `${upstreamId} sent what is no answer to the request`,
+        );
+      case 'timedOut':
+        return finish('deadlineExceeded', `${upstreamId} did not answer in time`);
+      case 'abandoned':
+        return finish('upstreamFailed', 'the caller left');
+      default:
+        return errors.throwUnreachable(result);
+    }
+  }
+
+  private getOutcome(failure: Failure): messages.DispatchOutcome {
+    switch (failure.kind) {
+      case 'notRun': {
+        const waitMs = RETRY_MS + RETRY_SPREAD_MS * this.getRandom();
+        return {...failure, retryAtMs: this.nowMs() + waitMs};
+      }
+      case 'mayHaveRun':
+        return failure;
+    }
+  }
+
+  private earnRetries(serviceId: string): void {
+    const state = this.services.get(serviceId);
+    if (state === undefined) return;
+    const retryBudget = decisions.earnRetries(
+      state.retryBudget,
+      this.getRetryBounds(),
+      this.nowMs(),
+    );
+    this.services.set(serviceId, {...state, retryBudget});
+  }
+
+  private takeRepeat(serviceId: string): boolean {
+    const state = this.services.get(serviceId);
+    if (state === undefined) return false;
+    if (!decisions.isRepeatAllowed(state.retryBudget)) return false;
+    const retryBudget = decisions.spendRepeat(state.retryBudget);
+    this.services.set(serviceId, {...state, retryBudget});
+    this.count('upstream_retries');
+    return true;
+  }
+
+  private addWork(serviceId: string, tookMs: number): void {
+    const state = this.services.get(serviceId);
+    if (state === undefined) return;
+    const workMs = state.workMs + (tookMs - state.workMs) * WORK_WEIGHT;
+    this.services.set(serviceId, {...state, workMs});
+  }
+
+  private getRetryBounds(): decisions.RetryBounds {
+    const {retryRatio, retrySlack, retryWindowMs} = this.options.bounds;
+    return {
+      ratio: retryRatio,
+      slack: retrySlack,
+      windowMs: retryWindowMs,
+      memberCount: this.getMemberCount(),
+    };
+  }
+
+  private getMemberCount(): number {
+    return (this.view?.otherCount ?? 0) + 1;
+  }
+
+  private logAvoided(upstreamId: string, reason: string): void {
+    this.log('warn', 'upstreamAvoided', {upstream: upstreamId, reason});
+  }
+
+  private logRetry(
+    dispatch: messages.EntryDispatch,
+    upstreamId: string,
+    reason: string,
+  ): void {
+    const request = dispatch.request.requestId;
+    this.log('info', 'requestRetried', {request, upstream: upstreamId, reason});
+  }
+
+  private getRandom(): number {
+    const value = pureRand.unsafeUniformIntDistribution(
+      0,
+      RANDOM_RANGE - 1,
+      this.random,
+    );
+    return value / RANDOM_RANGE;
+  }
+}
+
+/** Why a request has no answer. */
+type Failure =
+  | {
+      readonly kind: 'notRun';
+      readonly error: errors.ErrorKind;
+      readonly message: string;
+    }
+  | {
+      readonly kind: 'mayHaveRun';
+      readonly error: errors.ErrorKind;
+      readonly message: string;
+    };
+
+/** What follows a try. */
+type Step =
+  | {readonly kind: 'answered'; readonly answer: entry.EntryAnswer}
+  | {readonly kind: 'retry'; readonly failure: Failure}
+  | {readonly kind: 'finish'; readonly failure: Failure};
+
+const TOO_LATE: Failure = {
+  kind: 'notRun',
+  error: 'upstreamShed',
+  message: 'no time is left to run the request',
+};
+
+function retry(
+  kind: Failure['kind'],
+  error: errors.ErrorKind,
+  message: string,
+): Step {
+  return {kind: 'retry', failure: {kind, error, message}};
+}
+
+function finish(error: errors.ErrorKind, message: string): Step {
+  return {kind: 'finish', failure: {kind: 'mayHaveRun', error, message}};
+}
+
+/** A request that may have run is repeated only when it may run twice. */
+function getUnknownStep(mayRepeat: boolean, message: string): Step {
+  return mayRepeat
+    ? retry('mayHaveRun', 'upstreamFailed', message)
+    : finish('upstreamFailed', message);
+}
+
+/** A failure after which the request may have run outweighs one after which it has not. */
+function getWorse(known: Failure | undefined, next: Failure): Failure {
+  return known?.kind === 'mayHaveRun' ? known : next;
+}
+
+function getPlacementFailure(
+  placement: Exclude<decisions.Placement, {kind: 'chosen'}>,
+): Failure {
+  switch (placement.kind) {
+    case 'none':
+      return {
+        kind: 'notRun',
+        error: 'noUpstream',
+        message: 'no upstream takes the request',
+      };
+    case 'full':
+      return {
+        kind: 'notRun',
+        error: 'upstreamShed',
+        message: 'the upstreams cannot answer in time',
+      };
+  }
+}
--- /dev/null
+++ b/src/services/dispatch/UpstreamConnections.ts
@@ -0,0 +1,233 @@
+import type * as http from 'node:http';
+import * as undici from 'undici';
+import type * as codecs from '../../codecs/entry/index.js';
+import type * as entry from '../../model/entry/index.js';
+
+/** How long in milliseconds a new connection may take: two round trips between far regions and a lost packet. */
+const CONNECT_TIMEOUT_MS = 700;
+
+/** Idle connections are closed well before upstreams close them, so that few requests meet a closing one. */
+const KEEP_ALIVE_MS = 4000;
+
+/** How an attempt to have one upstream run a request ended. */
+export type SendResult =
+  | {
+      readonly kind: 'answered';
+      readonly answer: entry.EntryAnswer;
+      readonly load: codecs.UpstreamLoad | undefined;
+    }
+  /** The upstream says that it did not run the request. */
+  | {
+      readonly kind: 'shed';
+      readonly load: codecs.UpstreamLoad | undefined;
+    }
+  /** Another upstream has the address now. */
+  | {readonly kind: 'misdirected'}
+  /** There was no connection. */
+  | {readonly kind: 'notSent'; readonly reason: string}
+  /** The connection broke while the upstream had the request. */
+  | {readonly kind: 'broken'; readonly reason: string}
+  /** What came was not the answer to this request. */
+  | {readonly kind: 'garbled'}
+  | {readonly kind: 'timedOut'}
+  /** The caller left. */
+  | {readonly kind: 'abandoned'};
+
+/** A request as it goes to one upstream. */
+export interface Sending {
+  readonly request: entry.EntryRequest;
+
+  /** Names and values in turn. */
+  readonly headers: string[];
+
+  /** How long in milliseconds the answer is waited for. */
+  readonly remainingMs: number;
+
+  /** Whether a connection that was used before must not be taken. */
+  readonly isFreshOnly: boolean;
+
+  readonly abandoned: AbortSignal;
+}
+
+/** Owns the connections to one upstream. A connection that saw anything but a whole answer is closed. */
+export class UpstreamConnections {
+  private readonly upstreamId: string;
+  private readonly origin: string;
+  private readonly codec: codecs.WireCodec;
+  private readonly pool: undici.Pool;
+
+  /** @param address Where the upstream listens, as host:port. */
+  constructor(upstreamId: string, address: string, codec: codecs.WireCodec) {
+    this.upstreamId = upstreamId;
+    this.codec = codec;
+    this.origin = `http://${address}`;
+    this.pool = new undici.Pool(this.origin, {
+      connections: null,
+      ...getOptions(),
+    });
+  }
+
+  /** Sends a request once. */
+  send(sending: Sending): Promise<SendResult> {
+    const {request} = sending;
+    const client = sending.isFreshOnly
+      ? new undici.Client(this.origin, getOptions())
+      : undefined;
+    return new Promise(resolve => {
+      const settle = (result: SendResult) => {
+        if (client !== undefined) void client.destroy();
+        resolve(result);
+      };
+      const exchange = new Exchange(
+        this.upstreamId,
+        this.codec,
+        sending,
+        settle,
+      );
+      (client ?? this.pool).dispatch(
+        {
+          method: request.method as undici.Dispatcher.HttpMethod,
+          path: request.target,
+          headers: sending.headers,
+          body: request.body.length === 0 ? null : request.body,
+        },
+        exchange,
+      );
+    });
+  }
+
+  /** Closes the connections once their requests are done. */
+  async close(): Promise<void> {
+    await this.pool.close();
+  }
+}
+
+function getOptions(): undici.Client.Options {
+  return {
+    pipelining: 1,
+    keepAliveTimeout: KEEP_ALIVE_MS,
+    keepAliveMaxTimeout: KEEP_ALIVE_MS,
+    headersTimeout: 0,
+    bodyTimeout: 0,
+    connect: {timeout: CONNECT_TIMEOUT_MS},
+  };
+}
+
+/** One request and its answer on one connection. */
+class Exchange implements undici.Dispatcher.DispatchHandler {
+  private readonly upstreamId: string;
+  private readonly codec: codecs.WireCodec;
+  private readonly sending: Sending;
+  private readonly settle: (result: SendResult) => void;
+  private readonly timer: NodeJS.Timeout;
+  private readonly chunks: Buffer[] = [];
+  private readonly onAbandoned = () => this.abort({kind: 'abandoned'});
+  private controller: undici.Dispatcher.DispatchController | undefined;
+  private httpStatus = 0;
+  private envelope: codecs.AnswerEnvelope | undefined;
+  private isSettled = false;
+
+  constructor(
+    upstreamId: string,
+    codec: codecs.WireCodec,
+    sending: Sending,
+    settle: (result: SendResult) => void,
+  ) {
+    this.upstreamId = upstreamId;
+    this.codec = codec;
+    this.sending = sending;
+    this.settle = settle;
+    this.timer = setTimeout(
+      () => this.abort({kind: 'timedOut'}),
+      Math.max(0, sending.remainingMs),
+    );
+    sending.abandoned.addEventListener('abort', this.onAbandoned);
+  }
+
+  onRequestStart(controller: undici.Dispatcher.DispatchController): void {
+    this.controller = controller;
+    if (this.isSettled) controller.abort(new Error('settled'));
+  }
+
+  onResponseStart(
+    _controller: undici.Dispatcher.DispatchController,
+    httpStatus: number,
+    headers: http.IncomingHttpHeaders,
+  ): void {
+    if (httpStatus < 200) return;
+    const envelope = this.codec.decodeAnswer(httpStatus, headers);
+    if (
+      envelope.requestId !== undefined &&
+      envelope.requestId !== this.sending.request.requestId
+    ) {
+      this.abort({kind: 'garbled'});
+      return;
+    }
+    this.httpStatus = httpStatus;
+    this.envelope = envelope;
+  }
+
+  onResponseData(
+    _controller: undici.Dispatcher.DispatchController,
+    chunk: Buffer,
+  ): void {
+    this.chunks.push(chunk);
+  }
+
+  onResponseEnd(): void {
+    const {envelope} = this;
+    if (envelope === undefined) {
+      this.finish({kind: 'garbled'});
+      return;
+    }
+    switch (envelope.verdict) {
+      case 'executed':
+        this.finish({
+          kind: 'answered',
+          answer: {
+            httpStatus: this.httpStatus,
+            headers: envelope.headers,
+            body:
+              this.chunks.length === 1
+                ? this.chunks[0]
+                : Buffer.concat(this.chunks),
+            upstreamId: this.upstreamId,
+          },
+          load: envelope.load,
+        });
+        return;
+      case 'notExecuted':
+        this.finish({kind: 'shed', load: envelope.load});
+        return;
+      case 'misdirected':
+        this.finish({kind: 'misdirected'});
+        return;
+    }
+  }
+
+  onResponseError(
+    _controller: undici.Dispatcher.DispatchController | null,
+    thrown: Error,
+  ): void {
+    const reason =
+      (thrown as {readonly code?: string}).code ?? thrown.message;
+    const wasSent = this.controller !== undefined;
+    this.finish({kind: wasSent ? 'broken' : 'notSent', reason});
+  }
+
+  private abort(result: SendResult): void {
+    if (this.isSettled) return;
+    const wasSent = this.controller !== undefined;
+    const isEarly = result.kind === 'timedOut' && !wasSent;
+    this.finish(isEarly ? {kind: 'notSent', reason: 'no connection'} : result);
+    this.controller?.abort(new Error(result.kind));
+  }
+
+  private finish(result: SendResult): void {
+    if (this.isSettled) return;
+    this.isSettled = true;
+    clearTimeout(this.timer);
+    this.sending.abandoned.removeEventListener('abort', this.onAbandoned);
+    this.settle(result);
+  }
+}
--- /dev/null
+++ b/src/services/dispatch/index.ts
@@ -0,0 +1,2 @@
+export * from './DispatchMessage.js';
+export * from './DispatchTask.js';
--- /dev/null
+++ b/src/services/entry/EntryFlow.ts
@@ -0,0 +1,94 @@
+import type * as kernel from '../../kernel/index.js';
+import type * as entry from '../../model/entry/index.js';
+import type * as errors from '../../model/errors/index.js';
+import * as dispatchService from '../dispatch/DispatchMessage.js';
+import * as sharesService from '../shares/SharesMessage.js';
+
+/** What a caller gets. */
+export type EntryResult =
+  | {readonly kind: 'answered'; readonly answer: entry.EntryAnswer}
+  | {
+      readonly kind: 'failed';
+      readonly error: errors.ErrorKind;
+      readonly message: string;
+
+      /** Monotonic time in milliseconds from which a repeat makes sense, if that is known. */
+      readonly retryAtMs: number | undefined;
+    };
+
+/** A request with the decision that lets it run. */
+export interface GrantedEntry {
+  readonly request: entry.EntryRequest;
+  readonly route: entry.EntryRoute;
+  readonly organisation: entry.EntryOrganisation | undefined;
+
+  /** Aborted when the caller has left. */
+  readonly abandoned: AbortSignal;
+}
+
+/** Takes one request from its admission to its answer. It knows no wire form. */
+export class EntryFlow {
+  private readonly dispatch: kernel.Address<dispatchService.DispatchMessage>;
+  private readonly shares: kernel.Address<sharesService.SharesMessage>;
+
+  /** @param services Finds the services that the request passes. */
+  constructor(services: kernel.ServiceDirectory) {
+    this.dispatch = services.getOrThrow(dispatchService.DISPATCH);
+    this.shares = services.getOrThrow(sharesService.SHARES);
+  }
+
+  /** Runs a request that may run. */
+  async run(granted: GrantedEntry): Promise<EntryResult> {
+    const {request, route, organisation} = granted;
+    if (organisation !== undefined) {
+      const share = await this.shares.ask<sharesService.ShareResult>(reply => ({
+        kind: 'admit',
+        organisationId: organisation.organisationId,
+        reply,
+      }));
+      if (share.kind === 'refused')
+        return {
+          kind: 'failed',
+          error: 'rateLimited',
+          message: `the limit of ${organisation.organisationId} is reached`,
+          retryAtMs: share.retryAtMs,
+        };
+    }
+    const deadlineMs = getDeadlineMs(request, route);
+    const outcome = await this.dispatch.ask<dispatchService.DispatchOutcome>(
+      reply => ({
+        kind: 'dispatch',
+        dispatch: {...granted, deadlineMs},
+        reply,
+      }),
+    );
+    switch (outcome.kind) {
+      case 'answered':
+        return outcome;
+      case 'notRun': {
+        const {error, message, retryAtMs} = outcome;
+        return {kind: 'failed', error, message, retryAtMs};
+      }
+      case 'mayHaveRun': {
+        const {error, message} = outcome;
+        return {kind: 'failed', error, message, retryAtMs: undefined};
+      }
+    }
+  }
+}
+
+/** Gets the rank of a request under overload; an organisation's goes before its route's. */
+export function getPriority(granted: GrantedEntry): number {
+  return granted.organisation?.priority ?? granted.route.priority;
+}
+
+function getDeadlineMs(
+  request: entry.EntryRequest,
+  route: entry.EntryRoute,
+): number {
+  return Math.min(
+    request.callerDeadlineMs,
+    request.arrivedAtMs + route.timeLimitMs,
+  );
+}
+
--- /dev/null
+++ b/src/services/entry/EntryMessage.ts
@@ -0,0 +1,21 @@
+import * as kernel from '../../kernel/index.js';
+import type * as entry from '../../model/entry/index.js';
+import type * as knowledgeService from '../knowledge/KnowledgeMessage.js';
+import type * as membersService from '../members/MembersMessage.js';
+
+/** What the entry service takes. */
+export type EntryMessage =
+  | knowledgeService.OperatorRowsChanged
+  | knowledgeService.UpstreamRowsChanged
+  | membersService.MembersChanged
+  /** Whether the process takes new callers. */
+  | {readonly kind: 'isReady'; readonly reply: kernel.Reply<boolean>}
+  /** Asks for the VMs that a caller in a region may use. */
+  | {
+      readonly kind: 'steer';
+      readonly region: string;
+      readonly reply: kernel.Reply<readonly entry.MemberRecord[]>;
+    };
+
+/** The entry service. */
+export const ENTRY = kernel.getServiceName<EntryMessage>('entry');
--- /dev/null
+++ b/src/services/entry/EntryTask.ts
@@ -0,0 +1,296 @@
+import type * as http from 'node:http';
+import type * as net from 'node:net';
+import * as h3 from 'h3';
+import type * as codecs from '../../codecs/entry/index.js';
+import * as decisions from '../../decisions/index.js';
+import type * as entry from '../../model/entry/index.js';
+import * as errors from '../../model/errors/index.js';
+import * as base from '../base/index.js';
+import * as httpService from '../http/index.js';
+import * as knowledgeService from '../knowledge/KnowledgeMessage.js';
+import * as membersService from '../members/MembersMessage.js';
+import type * as messages from './EntryMessage.js';
+import * as flows from './EntryFlow.js';
+
+/** How long in milliseconds a caller waits that says nothing of it. */
+const DEFAULT_WAIT_MS = 60_000;
+
+/** Pause in milliseconds that callers are asked to make while nothing is known yet. */
+const UNREADY_RETRY_MS = 300;
+
+/** Time in milliseconds for which a stopping process goes on taking callers that have not heard of it. */
+const LEAVE_MS = 3000;
+
+/** Time in milliseconds that is left of the grace period for closing. */
+const CLOSE_MS = 700;
+
+/** How often in milliseconds a stopping process looks whether its requests are done. */
+const IDLE_CHECK_MS = 100;
+
+/** What the entry service is told when it is made. */
+export interface EntryOptions {
+  readonly address: entry.SocketAddress;
+  readonly bounds: entry.EntryBounds;
+  readonly codec: codecs.WireCodec;
+}
+
+/** Owns the callers' listener: decides what may run and takes it to upstreams and back. */
+export class EntryTask extends base.ServiceTask<messages.EntryMessage> {
+  private readonly options: EntryOptions;
+  private readonly listener: httpService.HttpListener;
+  private readonly waiting = new WeakMap<net.Socket, number>();
+  private index: decisions.EntryIndex | undefined;
+  private configuration: entry.EntryConfiguration | undefined;
+  private view: membersService.MembersChanged | undefined;
+  private flow: flows.EntryFlow | undefined;
+  private hasUpstreams = false;
+  private inFlightCount = 0;
+  private isLeaving = false;
+
+  /** @param options Where callers come in and how they speak. */
+  constructor(options: EntryOptions) {
+    super();
+    this.options = options;
+    const app = new h3.H3();
+    app.all(
+      '/**',
+      h3.fromNodeHandler((request, response) =>
+        this.handle(
+          request as http.IncomingMessage,
+          response as http.ServerResponse,
+        ),
+      ),
+    );
+    this.listener = new httpService.HttpListener(
+      options.address,
+      h3.toNodeHandler(app),
+    );
+  }
+
+  protected override async onStart(): Promise<void> {
+    this.flow = new flows.EntryFlow(this.getContext().services);
+    const subscriber = this.getAddress();
+    const knowledge = this.getService(knowledgeService.KNOWLEDGE);
+    knowledge.post({kind: 'subscribeOperatorRows', subscriber});
+    knowledge.post({kind: 'subscribeUpstreamRows', subscriber});
+    this.getService(membersService.MEMBERS).post({
+      kind: 'subscribe',
+      subscriber,
+    });
+    await this.listener.open();
+  }
+
+  /** Takes callers until they have heard of the stop, finishes all requests and closes. */
+  protected override async onStop(): Promise<void> {
+    this.isLeaving = true;
+    this.getService(membersService.MEMBERS).post({kind: 'leave'});
+    const startedAtMs = this.nowMs();
+    const graceEndMs =
+      startedAtMs + this.options.bounds.gracePeriodMs - CLOSE_MS;
+    const quietFromMs = Math.min(startedAtMs + LEAVE_MS, graceEndMs);
+    while (
+      this.nowMs() < graceEndMs &&
+      (this.nowMs() < quietFromMs || this.inFlightCount > 0)
+    )
+      await this.wait(IDLE_CHECK_MS);
+    this.listener.closeNow();
+  }
+
+  protected override receive(message: messages.EntryMessage): void {
+    switch (message.kind) {
+      case 'operatorRowsChanged':
+        this.setOperatorRows(message);
+        return;
+      case 'upstreamRowsChanged':
+        this.hasUpstreams = true;
+        return;
+      case 'membersChanged':
+        this.view = message;
+        return;
+      case 'isReady':
+        message.reply(this.isReady());
+        return;
+      case 'steer':
+        message.reply(
+          decisions.chooseEntryVms(this.view?.serving ?? [], message.region),
+        );
+        return;
+      default:
+        errors.throwUnreachable(message);
+    }
+  }
+
+  private isReady(): boolean {
+    return (
+      this.configuration !== undefined && this.hasUpstreams && !this.isLeaving
+    );
+  }
+
+  private setOperatorRows(
+    message: knowledgeService.OperatorRowsChanged,
+  ): void {
+    const {configuration} = message.rows;
+    const {certainUntilMs} = message;
+    if (configuration === this.configuration && this.index !== undefined) {
+      this.index = {...this.index, certainUntilMs};
+      return;
+    }
+    this.configuration = configuration;
+    this.listener.setCallerLimits(
+      configuration.callerLimits.idleTimeoutMs,
+      configuration.callerLimits.headerTimeoutMs,
+    );
+    this.index = {
+      routes: new decisions.RouteIndex(configuration.routes),
+      organisationsByKey: new Map(
+        configuration.organisations.flatMap(organisation =>
+          organisation.keys.map(key => [key, organisation] as const),
+        ),
+      ),
+      hasOrganisations: configuration.hasOrganisations,
+      certainUntilMs,
+    };
+  }
+
+  private async handle(
+    incoming: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): Promise<void> {
+    const arrivedAtMs = this.nowMs();
+    this.inFlightCount += 1;
+    const {socket} = incoming;
+    this.waiting.set(socket, (this.waiting.get(socket) ?? 0) + 1);
+    const caller = new AbortController();
+    response.once('close', () => {
+      this.inFlightCount -= 1;
+      if (!response.writableFinished) caller.abort();
+    });
+    const envelope = this.options.codec.decodeRequest(incoming.rawHeaders);
+    try {
+      const maxBytes = this.configuration?.callerLimits.maxBodyBytes;
+      const body = await httpService.readBody(incoming, maxBytes);
+      const request: entry.EntryRequest = {
+        requestId: envelope.requestId,
+        method: incoming.method ?? 'GET',
+        host: incoming.headers.host ?? '',
+        target: incoming.url ?? '/',
+        headers: envelope.headers,
+        body,
+        key: envelope.key,
+        objectKey: envelope.objectKey,
+        arrivedAtMs,
+        callerDeadlineMs:
+          arrivedAtMs + (envelope.remainingMs ?? DEFAULT_WAIT_MS),
+      };
+      this.write(response, request, await this.run(request, caller.signal));
+    } catch (thrown) {
+      const error = errors.toError(thrown);
+      this.fail(response, envelope.requestId, {
+        kind: 'failed',
+        error: error.kind,
+        message: error.message,
+        retryAtMs: undefined,
+      });
+    }
+    this.observe('request_ms', this.nowMs() - arrivedAtMs);
+  }
+
+  private async run(
+    request: entry.EntryRequest,
+    abandoned: AbortSignal,
+  ): Promise<flows.EntryResult> {
+    if (this.index === undefined || this.flow === undefined)
+      return {
+        kind: 'failed',
+        error: 'notFresh',
+        message: 'no configuration is known yet',
+        retryAtMs: this.nowMs() + UNREADY_RETRY_MS,
+      };
+    const decision = decisions.decideEntry(this.index, request, this.nowMs());
+    if (decision.kind === 'refused')
+      return {
+        kind: 'failed',
+        error: decision.error,
+        message: decision.message,
+        retryAtMs: this.nowMs() + UNREADY_RETRY_MS,
+      };
+    const {route, organisation} = decision;
+    return await this.flow.run({request, route, organisation, abandoned});
+  }
+
+  private write(
+    response: http.ServerResponse,
+    request: entry.EntryRequest,
+    result: flows.EntryResult,
+  ): void {
+    switch (result.kind) {
+      case 'answered': {
+        const {answer} = result;
+        this.count('requests_answered');
+        this.log('debug', 'requestServed', {
+          request: request.requestId,
+          upstream: answer.upstreamId,
+          status: answer.httpStatus,
+          tookMs: Math.round(this.nowMs() - request.arrivedAtMs),
+        });
+        this.send(response, answer.httpStatus, answer.headers, answer.body);
+        return;
+      }
+      case 'failed':
+        this.fail(response, request.requestId, result);
+        return;
+      default:
+        errors.throwUnreachable(result);
+    }
+  }
+
+  private fail(
+    response: http.ServerResponse,
+    requestId: string,
+    failure: Extract<flows.EntryResult, {kind: 'failed'}>,
+  ): void {
+    const {error, message, retryAtMs} = failure;
+    const {isNotRun, httpStatus} = errors.ERROR_ANSWERS[error];
+    this.count(isNotRun ? 'requests_refused' : 'requests_failed');
+    if (error === 'rateLimited') this.count('requests_refused_rate');
+    const waitMs =
+      retryAtMs === undefined ? undefined : Math.max(0, retryAtMs - this.nowMs());
+    this.log('info', 'requestRefused', {
+      request: requestId,
+      error,
+      message,
+      version: this.configuration?.version ?? 0,
+      ...(waitMs === undefined ? {} : {retryAfterMs: Math.round(waitMs)}),
+    });
+    const headers =
+      isNotRun && waitMs !== undefined
+        ? ['retry-after', (waitMs / 1000).toFixed(3)]
+        : [];
+    this.send(response, httpStatus, headers, EMPTY_BODY);
+  }
+
+  private send(
+    response: http.ServerResponse,
+    httpStatus: number,
+    headers: readonly string[],
+    body: Uint8Array,
+  ): void {
+    const {socket} = response.req;
+    const waiting = (this.waiting.get(socket) ?? 1) - 1;
+    this.waiting.set(socket, waiting);
+    if (response.destroyed || response.headersSent) return;
+    const written = [...headers, 'content-length', String(body.length)];
+    // A close would drop the requests that came behind this one, so the last of them brings it.
+    if (this.isLeaving && waiting === 0) written.push('connection', 'close');
+    response.writeHead(httpStatus, written);
+    response.end(body);
+  }
+
+  private wait(delayMs: number): Promise<void> {
+    return new Promise(resolve => {
+      this.getContext().timers.after(delayMs, resolve);
+    });
+  }
+}
+
+const EMPTY_BODY = new Uint8Array();
--- /dev/null
+++ b/src/services/entry/index.ts
@@ -0,0 +1,3 @@
+export * from './EntryMessage.js';
+export * from './EntryTask.js';
+export * from './SteeringListenerTask.js';
--- a/src/services/http/HttpListener.ts
+++ b/src/services/http/HttpListener.ts
@@ -35,6 +35,18 @@
     return `${this.address.host}:${port}`;
   }
 
+  /** Sets how long in milliseconds callers may stay idle and may take for a request's headers. */
+  setCallerLimits(idleMs: number, headersMs: number): void {
+    this.server.keepAliveTimeout = idleMs;
+    this.server.headersTimeout = headersMs;
+  }
+
+  /** Takes no new connection and closes all that are open. */
+  closeNow(): void {
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+
   /** Asks callers to leave: each answer from now on closes its connection. */
   startClosing(): void {
     this.isClosing = true;
--- a/src/services/http/readBody.ts
+++ b/src/services/http/readBody.ts
@@ -10,7 +10,10 @@
  * Reads the whole body of a request.
  * @throws BramleyrunError of kind invalidRequest when it is too large or breaks off.
  */
-export function readBody(request: http.IncomingMessage): Promise<Buffer> {
+export function readBody(
+  request: http.IncomingMessage,
+  maxBytes = MAX_BODY_BYTES,
+): Promise<Buffer> {
   const hasBody =
     request.headers['content-length'] !== undefined ||
     request.headers['transfer-encoding'] !== undefined;
@@ -20,11 +23,11 @@
     let sizeBytes = 0;
     request.on('data', (chunk: Buffer) => {
       sizeBytes += chunk.length;
-      if (sizeBytes <= MAX_BODY_BYTES) chunks.push(chunk);
+      if (sizeBytes <= maxBytes) chunks.push(chunk);
     });
     request.on('end', () => {
-      if (sizeBytes <= MAX_BODY_BYTES) resolve(Buffer.concat(chunks));
-      else reject(getInvalid(`the body is over ${MAX_BODY_BYTES} bytes`));
+      if (sizeBytes <= maxBytes) resolve(Buffer.concat(chunks));
+      else reject(getInvalid(`the body is over ${maxBytes} bytes`));
     });
     request.on('error', () => reject(getInvalid('the body broke off')));
     request.on('close', () => reject(getInvalid('the body broke off')));
--- /dev/null
+++ b/src/services/knowledge/index.ts
@@ -0,0 +1,2 @@
+export * from './KnowledgeMessage.js';
+export * from './KnowledgeTask.js';
--- /dev/null
+++ b/src/services/members/MembersMessage.ts
@@ -0,0 +1,49 @@
+import * as kernel from '../../kernel/index.js';
+import type * as entry from '../../model/entry/index.js';
+import type * as store from '../store/index.js';
+import type * as knowledgeService from '../knowledge/KnowledgeMessage.js';
+
+/** Sent to subscribers again and again: what this process knows of its peers. */
+export interface MembersChanged {
+  readonly kind: 'membersChanged';
+
+  /** What the peers that were heard lately said. */
+  readonly statuses: readonly entry.MemberStatus[];
+
+  /** This VM and the peers that callers may use. */
+  readonly serving: readonly entry.MemberRecord[];
+
+  /** Peers that may be serving, whether heard lately or not. */
+  readonly otherCount: number;
+
+  /** Whether any peer was heard lately, or there is none. */
+  readonly isConnected: boolean;
+}
+
+/** What the members service takes. */
+export type MembersMessage =
+  | {
+      readonly kind: 'subscribe';
+      readonly subscriber: kernel.Address<MembersChanged>;
+    }
+  | knowledgeService.OperatorRowsChanged
+  | knowledgeService.UpstreamRowsChanged
+  | {
+      readonly kind: 'setOrganisationDemands';
+      readonly demands: readonly entry.OrganisationDemand[];
+    }
+  | {
+      readonly kind: 'setServiceDemands';
+      readonly demands: readonly entry.ServiceDemand[];
+    }
+  | {readonly kind: 'datagram'; readonly bytes: Uint8Array}
+  | {readonly kind: 'membersRead'; readonly reading: store.MemberReading}
+  | {readonly kind: 'registered'; readonly write: store.StoreWrite}
+  | {readonly kind: 'tick'}
+  | {readonly kind: 'register'}
+  | {readonly kind: 'readMembers'}
+  /** Tells everyone that this process takes no new callers. */
+  | {readonly kind: 'leave'};
+
+/** The members service. */
+export const MEMBERS = kernel.getServiceName<MembersMessage>('members');
--- /dev/null
+++ b/src/services/members/MembersTask.ts
@@ -0,0 +1,241 @@
+import * as dgram from 'node:dgram';
+import * as codecs from '../../codecs/index.js';
+import * as decisions from '../../decisions/index.js';
+import type * as kernel from '../../kernel/index.js';
+import type * as entry from '../../model/entry/index.js';
+import * as errors from '../../model/errors/index.js';
+import * as base from '../base/index.js';
+import * as knowledgeService from '../knowledge/KnowledgeMessage.js';
+import * as store from '../store/index.js';
+import type * as messages from './MembersMessage.js';
+
+/** How often in milliseconds each VM tells its peers of itself. */
+const STATUS_INTERVAL_MS = 1000;
+
+/** How often in milliseconds the rows of all VMs are read again, for peers that were never heard. */
+const READ_INTERVAL_MS = 15_000;
+
+/** Pause in milliseconds after a call that failed. */
+const RETRY_MS = 400;
+
+/** Owns the datagram socket on which VMs tell each other of themselves, and knows who is there. */
+export class MembersTask extends base.ServiceTask<messages.MembersMessage> {
+  private readonly self: entry.MemberRecord;
+  private readonly address: entry.SocketAddress;
+  private readonly subscribers: kernel.Address<messages.MembersChanged>[] = [];
+  private readonly socket = dgram.createSocket('udp4');
+  private members: decisions.MemberTable = new Map();
+  private registered: readonly entry.MemberRecord[] = [];
+  private operatorRowsVersion = 0;
+  private upstreamRowsVersion = 0;
+  private organisationDemands: readonly entry.OrganisationDemand[] = [];
+  private serviceDemands: readonly entry.ServiceDemand[] = [];
+  private isLeaving = false;
+  private isStopped = false;
+
+  /**
+   * @param self How peers and callers reach this process.
+   * @param address Where datagrams come in.
+   */
+  constructor(self: entry.MemberRecord, address: entry.SocketAddress) {
+    super();
+    this.self = self;
+    this.address = address;
+  }
+
+  protected override async onStart(): Promise<void> {
+    this.socket.on('message', bytes =>
+      this.getAddress().post({kind: 'datagram', bytes}),
+    );
+    this.socket.on('error', thrown =>
+      this.log('warn', 'datagramFailed', {message: thrown.message}),
+    );
+    await new Promise<void>(resolve =>
+      this.socket.bind(this.address.port, this.address.host, resolve),
+    );
+    const knowledge = this.getService(knowledgeService.KNOWLEDGE);
+    const subscriber = this.getAddress();
+    knowledge.post({kind: 'subscribeOperatorRows', subscriber});
+    knowledge.post({kind: 'subscribeUpstreamRows', subscriber});
+    this.postEvery(STATUS_INTERVAL_MS, {kind: 'tick'});
+    this.postEvery(READ_INTERVAL_MS, {kind: 'readMembers'});
+    this.getAddress().post({kind: 'register'});
+  }
+
+  protected override async onStop(): Promise<void> {
+    this.isStopped = true;
+    await this.getService(store.STORE).ask<store.StoreWrite>(reply => ({
+      kind: 'removeMember',
+      vmId: this.self.vmId,
+      reply,
+    }));
+    this.sendStatus();
+    await new Promise<void>(resolve => this.socket.close(() => resolve()));
+  }
+
+  protected override receive(message: messages.MembersMessage): void {
+    switch (message.kind) {
+      case 'subscribe':
+        this.subscribers.push(message.subscriber);
+        this.publish();
+        return;
+      case 'operatorRowsChanged':
+        this.operatorRowsVersion = message.rows.tableVersion;
+        return;
+      case 'upstreamRowsChanged':
+        this.upstreamRowsVersion = message.tableVersion;
+        return;
+      case 'setOrganisationDemands':
+        this.organisationDemands = message.demands;
+        return;
+      case 'setServiceDemands':
+        this.serviceDemands = message.demands;
+        return;
+      case 'datagram':
+        this.noteDatagram(message.bytes);
+        return;
+      case 'register':
+        this.register();
+        return;
+      case 'registered':
+        this.noteRegistration(message.write);
+        return;
+      case 'readMembers':
+        this.readMembers();
+        return;
+      case 'membersRead':
+        this.noteMembersRead(message.reading);
+        return;
+      case 'tick':
+        this.sendStatus();
+        this.publish();
+        return;
+      case 'leave':
+        this.isLeaving = true;
+        this.sendStatus();
+        this.publish();
+        return;
+      default:
+        errors.throwUnreachable(message);
+    }
+  }
+
+  private register(): void {
+    if (this.isStopped) return;
+    void this.getService(store.STORE)
+      .ask<store.StoreWrite>(reply => ({
+        kind: 'writeMember',
+        member: this.self,
+        reply,
+      }))
+      .then(write => this.getAddress().post({kind: 'registered', write}));
+  }
+
+  private noteRegistration(write: store.StoreWrite): void {
+    switch (write.kind) {
+      case 'written':
+        this.readMembers();
+        return;
+      case 'unavailable':
+        this.postAfter(RETRY_MS, {kind: 'register'});
+        return;
+      default:
+        errors.throwUnreachable(write);
+    }
+  }
+
+  private readMembers(): void {
+    if (this.isStopped) return;
+    void this.getService(store.STORE)
+      .ask<store.MemberReading>(reply => ({kind: 'readMembers', reply}))
+      .then(reading => this.getAddress().post({kind: 'membersRead', reading}));
+  }
+
+  private noteMembersRead(reading: store.MemberReading): void {
+    switch (reading.kind) {
+      case 'snapshot':
+        this.registered = reading.members.filter(
+          member => member.vmId !== this.self.vmId,
+        );
+        this.sendStatus();
+        return;
+      case 'unavailable':
+        this.postAfter(RETRY_MS, {kind: 'readMembers'});
+        return;
+      default:
+        errors.throwUnreachable(reading);
+    }
+  }
+
+  /** Tells every peer that is registered or was heard of itself. */
+  private sendStatus(): void {
+    if (this.isStopped && !this.isLeaving) return;
+    const targets = new Set(this.registered.map(peer => peer.peersAddress));
+    for (const {status} of this.members.values())
+      targets.add(status.member.peersAddress);
+    targets.delete(this.self.peersAddress);
+    if (targets.size === 0) return;
+    const bytes = codecs.encodeMemberStatus(this.getStatus());
+    for (const target of targets) {
+      const {host, port} = codecs.parseSocketAddress(target);
+      this.socket.send(bytes, port, host, thrown => {
+        if (thrown) this.count('datagrams_failed');
+      });
+    }
+  }
+
+  private getStatus(): entry.MemberStatus {
+    return {
+      member: this.self,
+      isLeaving: this.isLeaving,
+      operatorRowsVersion: this.operatorRowsVersion,
+      upstreamRowsVersion: this.upstreamRowsVersion,
+      organisationDemands: this.organisationDemands,
+      serviceDemands: this.serviceDemands,
+    };
+  }
+
+  private noteDatagram(bytes: Uint8Array): void {
+    let status: entry.MemberStatus;
+    try {
+      status = codecs.decodeMemberStatus(bytes);
+    } catch (thrown) {
+      const {message} = errors.toError(thrown);
+      this.log('warn', 'datagramUnreadable', {message});
+      return;
+    }
+    const {vmId} = status.member;
+    if (vmId === this.self.vmId) return;
+    const known = this.members.get(vmId);
+    const isNew =
+      known?.status.member.processId !== status.member.processId ||
+      known.status.isLeaving !== status.isLeaving;
+    this.members = decisions.addStatus(this.members, status, this.nowMs());
+    if (!isNew) return;
+    this.log('info', 'memberHeard', {peer: vmId, leaving: status.isLeaving});
+    if (known === undefined) this.sendStatus();
+    this.publish();
+  }
+
+  private publish(): void {
+    const nowMs = this.nowMs();
+    const serving = decisions.getServingMembers(this.members, nowMs);
+    const message: messages.MembersChanged = {
+      kind: 'membersChanged',
+      statuses: [...this.members.values()]
+        .filter(known => nowMs - known.heardAtMs < decisions.MEMBER_SILENCE_MS)
+        .map(known => known.status),
+      serving: this.isLeaving ? serving : [this.self, ...serving],
+      otherCount: decisions.getReservedCount(this.members, nowMs),
+      isConnected: decisions.isConnected(this.members, nowMs),
+    };
+    for (const subscriber of this.subscribers) subscriber.post(message);
+  }
+
+  private postAfter(delayMs: number, message: messages.MembersMessage): void {
+    if (this.isStopped) return;
+    this.getContext().timers.after(delayMs, () =>
+      this.getAddress().post(message),
+    );
+  }
+}
--- /dev/null
+++ b/src/services/members/index.ts
@@ -0,0 +1,2 @@
+export * from './MembersMessage.js';
+export * from './MembersTask.js';
--- a/src/services/metrics/MetricsMessage.ts
+++ b/src/services/metrics/MetricsMessage.ts
@@ -15,7 +15,12 @@
   | 'peer_calls'
   | 'peer_calls_failed'
   | 'platform_calls'
-  | 'platform_calls_failed';
+  | 'platform_calls_failed'
+  | 'datagrams_failed'
+  | 'connections_opened'
+  | 'answers_discarded'
+  | 'placements_first'
+  | 'placements_other';
 
 /** Every histogram of a daemon; values are milliseconds. */
 export type HistogramName =
--- a/src/services/peers/PeersTask.ts
+++ b/src/services/peers/PeersTask.ts
@@ -24,6 +24,7 @@
   'askClaim',
   'reportBreak',
   'getSharedState',
+  'getKnowledge',
 ];
 
 /** Owns the peers' listener and the connections to other daemons. */
--- a/src/services/peers/answerPeer.ts
+++ b/src/services/peers/answerPeer.ts
@@ -1,10 +1,12 @@
 import type * as kernel from '../../kernel/index.js';
 import type * as configurations from '../../model/configuration/index.js';
 import * as errors from '../../model/errors/index.js';
+import type * as entry from '../../model/entry/index.js';
 import type * as fleet from '../../model/fleet/index.js';
 import type * as peers from '../../model/peers/index.js';
 import * as configurationService from '../configuration/ConfigurationMessage.js';
 import * as fleetService from '../fleet/FleetMessage.js';
+import * as knowledgeService from '../knowledge/KnowledgeMessage.js';
 import * as limitsService from '../limits/LimitsMessage.js';
 import * as operationsService from '../operations/OperationsMessage.js';
 import * as upstreamsService from '../upstreams/UpstreamsMessage.js';
@@ -34,6 +36,8 @@
         .ask(reply => ({kind: 'peerRequest', request, reply}));
     case 'getSharedState':
       return await getSharedState(services);
+    case 'getKnowledge':
+      return await getKnowledge(services);
     default:
       return errors.throwUnreachable(request);
   }
@@ -65,3 +69,15 @@
   ]);
   return {kind: 'sharedState', configuration, fleetMap};
 }
+
+async function getKnowledge(
+  services: kernel.ServiceDirectory,
+): Promise<peers.PeerAnswer> {
+  const known = await services
+    .getOrThrow(knowledgeService.KNOWLEDGE)
+    .ask<{
+      readonly operatorRows: entry.OperatorRows | undefined;
+      readonly upstreamRows: entry.UpstreamRows | undefined;
+    }>(reply => ({kind: 'getKnowledge', reply}));
+  return {kind: 'knowledge', ...known};
+}
--- /dev/null
+++ b/src/services/shares/SharesTask.ts
@@ -0,0 +1,120 @@
+import * as decisions from '../../decisions/index.js';
+import type * as entry from '../../model/entry/index.js';
+import * as errors from '../../model/errors/index.js';
+import * as base from '../base/index.js';
+import * as knowledgeService from '../knowledge/KnowledgeMessage.js';
+import * as membersService from '../members/MembersMessage.js';
+import * as shares from './OrganisationShare.js';
+import type * as messages from './SharesMessage.js';
+
+/** How often in milliseconds shares are worked out anew. */
+const TICK_MS = 250;
+
+/** Admits requests within this VM's share of each organisation's limit. */
+export class SharesTask extends base.ServiceTask<messages.SharesMessage> {
+  private readonly shares = new Map<string, shares.OrganisationShare>();
+  private organisations: readonly entry.EntryOrganisation[] = [];
+  private view: membersService.MembersChanged | undefined;
+
+  protected override async onStart(): Promise<void> {
+    const subscriber = this.getAddress();
+    this.getService(knowledgeService.KNOWLEDGE).post({
+      kind: 'subscribeOperatorRows',
+      subscriber,
+    });
+    this.getService(membersService.MEMBERS).post({
+      kind: 'subscribe',
+      subscriber,
+    });
+    this.postEvery(TICK_MS, {kind: 'tick'});
+  }
+
+  protected override receive(message: messages.SharesMessage): void {
+    switch (message.kind) {
+      case 'operatorRowsChanged':
+        this.setOrganisations(message.rows.configuration.organisations);
+        return;
+      case 'membersChanged':
+        this.view = message;
+        return;
+      case 'admit':
+        message.reply(this.admit(message.organisationId));
+        return;
+      case 'tick':
+        this.update();
+        return;
+      default:
+        errors.throwUnreachable(message);
+    }
+  }
+
+  private setOrganisations(
+    organisations: readonly entry.EntryOrganisation[],
+  ): void {
+    if (organisations === this.organisations) return;
+    this.organisations = organisations;
+    const nowMs = this.nowMs();
+    const named = new Set<string>();
+    for (const organisation of organisations) {
+      const {organisationId} = organisation;
+      named.add(organisationId);
+      const known = this.shares.get(organisationId);
+      if (known === undefined)
+        this.shares.set(
+          organisationId,
+          new shares.OrganisationShare(organisation, nowMs),
+        );
+      else known.setOrganisation(organisation);
+    }
+    for (const organisationId of this.shares.keys())
+      if (!named.has(organisationId)) this.shares.delete(organisationId);
+    this.update();
+  }
+
+  private update(): void {
+    const nowMs = this.nowMs();
+    const otherCount = this.view?.otherCount ?? 0;
+    const isConnected = this.view?.isConnected ?? false;
+    const reported = this.getReportedDemands();
+    const demands: entry.OrganisationDemand[] = [];
+    for (const organisation of this.organisations) {
+      const {organisationId, ratePerSecond} = organisation;
+      const share = this.shares.get(organisationId);
+      if (share === undefined || ratePerSecond <= 0) continue;
+      share.update(
+        reported.get(organisationId) ?? [],
+        otherCount,
+        isConnected,
+        nowMs,
+      );
+      const threshold = decisions.getReportThreshold(
+        ratePerSecond,
+        otherCount + 1,
+      );
+      if (share.ownDemandPerSecond > threshold)
+        demands.push({organisationId, ratePerSecond: share.ownDemandPerSecond});
+    }
+    this.getService(membersService.MEMBERS).post({
+      kind: 'setOrganisationDemands',
+      demands,
+    });
+  }
+
+  private getReportedDemands(): ReadonlyMap<string, readonly number[]> {
+    const reported = new Map<string, number[]>();
+    for (const status of this.view?.statuses ?? []) {
+      for (const {organisationId, ratePerSecond} of status.organisationDemands) {
+        const demands = reported.get(organisationId) ?? [];
+        demands.push(ratePerSecond);
+        reported.set(organisationId, demands);
+      }
+    }
+    return reported;
+  }
+
+  private admit(organisationId: string): messages.ShareResult {
+    const retryAtMs = this.shares.get(organisationId)?.take(this.nowMs());
+    if (retryAtMs === undefined) return {kind: 'granted'};
+    return {kind: 'refused', retryAtMs};
+  }
+}
--- /dev/null
+++ b/src/services/shares/index.ts
@@ -0,0 +1,2 @@
+export * from './SharesMessage.js';
+export * from './SharesTask.js';
--- /dev/null
+++ b/src/services/store/index.ts
@@ -0,0 +1,3 @@
+export * from './StoreAdapter.js';
+export * from './StoreMessage.js';
+export * from './StoreTask.js';
