--- a/src/model/entry/EntrySettings.ts
+++ b/src/model/entry/EntrySettings.ts
@@ -21,6 +21,9 @@
   /** The window of the retry bound, in milliseconds. */
   readonly retryWindowMs: number;
 
+  /** The window over which organisations' limits are judged, in milliseconds. */
+  readonly limitWindowMs: number;
+
   /** The longest time for which callers keep a steering answer, in milliseconds. */
   readonly steeringTermMs: number;
 }
--- a/src/programs/entry/EntryDaemon.ts
+++ b/src/programs/entry/EntryDaemon.ts
@@ -94,7 +94,7 @@
       codec: adapters.wire,
     });
     this.kernel
-      .add(services.SHARES, new services.SharesTask(), [services.MEMBERS])
+      .add(services.SHARES, new services.SharesTask(bounds.limitWindowMs), [services.MEMBERS])
       .add(services.DISPATCH, dispatch, [
         services.MEMBERS,
         services.KNOWLEDGE,
--- a/src/services/dispatch/DispatchTask.ts
+++ b/src/services/dispatch/DispatchTask.ts
@@ -255,6 +255,14 @@
     }
     const maxLoad = remainingMs / (state?.workMs ?? FIRST_WORK_MS);
     const placement = decisions.choosePlacement(views, maxLoad);
+    this.log('debug', 'requestPlaced', {
+      request: request.requestId,
+      outcome: placement.kind,
+      object: `${route.pathPrefix}${request.objectKey}`,
+      ranked: ranked.join(),
+      busy: views.map(view => view.busyCount.toFixed(1)).join(),
+      open: views.map(view => view.isOpen).join(),
+    });
     if (placement.kind === 'chosen')
       this.count(
         placement.upstreamId === ranked[0]
--- a/src/services/entry/EntryFlow.ts
+++ b/src/services/entry/EntryFlow.ts
@@ -50,7 +50,7 @@
         return {
           kind: 'failed',
           error: 'rateLimited',
-          message: `the limit of ${organisation.organisationId} is reached`,
+          message: getLimitMessage(organisation.organisationId, share),
           retryAtMs: share.retryAtMs,
         };
     }
@@ -92,3 +92,13 @@
   );
 }
 
+
+function getLimitMessage(
+  organisationId: string,
+  share: Extract<sharesService.ShareResult, {kind: 'refused'}>,
+): string {
+  const limit = Math.round(share.limitPerSecond);
+  const part = share.sharePerSecond.toFixed(1);
+  const asked = share.demandPerSecond.toFixed(1);
+  return `${organisationId} is over its limit of ${limit}/s: ${part}/s here, ${asked}/s asked`;
+}
--- a/src/services/logs/EventName.ts
+++ b/src/services/logs/EventName.ts
@@ -33,5 +33,6 @@
   | 'upstreamRemoved'
   | 'upstreamReturned'
   | 'requestServed'
+  | 'requestPlaced'
   | 'requestRetried'
   | 'linesLeftOut';
--- a/src/services/shares/OrganisationShare.ts
+++ b/src/services/shares/OrganisationShare.ts
@@ -7,13 +7,14 @@
 const MS_PER_SECOND = 1000;
 
 /**
- * The part of an organisation's burst that the fleet's buckets hold together. The rest covers VMs that
- * restart or are cut off, whose buckets fill beside the others'.
+ * Seconds of the rate that the fleet's buckets hold together. The burst itself is spread over the limit's
+ * window, so that an organisation may use rate times window plus burst in each window.
  */
-const BURST_PART = 0.5;
+const BUCKET_SECONDS = 0.25;
 
 /** One VM's part of an organisation's limit, and what its callers ask of it. */
 export class OrganisationShare {
+  private readonly windowMs: number;
   private organisation: entry.EntryOrganisation;
   private bucket: decisions.TokenBucket;
   private sharePerSecond = 0;
@@ -21,8 +22,16 @@
   private askedCount = 0;
   private countedSinceMs: number;
 
-  /** @param organisation The organisation that the share is of. */
-  constructor(organisation: entry.EntryOrganisation, nowMs: number) {
+  /**
+   * @param organisation The organisation that the share is of.
+   * @param windowMs The window over which limits are judged, in milliseconds.
+   */
+  constructor(
+    organisation: entry.EntryOrganisation,
+    windowMs: number,
+    nowMs: number,
+  ) {
+    this.windowMs = windowMs;
     this.organisation = organisation;
     this.bucket = decisions.startBucket(nowMs);
     this.countedSinceMs = nowMs;
@@ -38,6 +47,17 @@
     return this.demandPerSecond;
   }
 
+  /** The limit of the whole fleet with the burst spread over a window, in requests a second. */
+  get limitPerSecond(): number {
+    const {ratePerSecond, burstRequests} = this.organisation;
+    return ratePerSecond + (burstRequests * MS_PER_SECOND) / this.windowMs;
+  }
+
+  /** This VM's part of the limit, in requests a second. */
+  get ownSharePerSecond(): number {
+    return this.sharePerSecond;
+  }
+
   /** Replaces the limit. */
   setOrganisation(organisation: entry.EntryOrganisation): void {
     this.organisation = organisation;
@@ -53,7 +73,7 @@
     this.updateDemand(nowMs);
     this.fill(nowMs);
     this.sharePerSecond = decisions.getLimitShare({
-      limitPerSecond: this.organisation.ratePerSecond,
+      limitPerSecond: this.limitPerSecond,
       ownDemandPerSecond: this.demandPerSecond,
       reportedDemandsPerSecond,
       otherCount,
@@ -76,10 +96,7 @@
   }
 
   private fill(nowMs: number): void {
-    const {ratePerSecond, burstRequests} = this.organisation;
-    const part =
-      ratePerSecond > 0 ? this.sharePerSecond / ratePerSecond : 0;
-    const burst = Math.max(1, BURST_PART * burstRequests * part);
+    const burst = Math.max(1, BUCKET_SECONDS * this.sharePerSecond);
     this.bucket = decisions.fillBucket(
       this.bucket,
       this.sharePerSecond,
--- a/src/services/shares/SharesMessage.ts
+++ b/src/services/shares/SharesMessage.ts
@@ -9,6 +9,11 @@
       readonly kind: 'refused';
       /** Monotonic time in milliseconds from which a repeat makes sense. */
       readonly retryAtMs: number;
+
+      /** The limit, this VM's part of it and what its callers ask for, in requests a second. */
+      readonly limitPerSecond: number;
+      readonly sharePerSecond: number;
+      readonly demandPerSecond: number;
     };
 
 /** What the shares service takes. */
--- a/src/services/shares/SharesTask.ts
+++ b/src/services/shares/SharesTask.ts
@@ -13,9 +13,16 @@
 /** Admits requests within this VM's share of each organisation's limit. */
 export class SharesTask extends base.ServiceTask<messages.SharesMessage> {
   private readonly shares = new Map<string, shares.OrganisationShare>();
+  private readonly windowMs: number;
   private organisations: readonly entry.EntryOrganisation[] = [];
   private view: membersService.MembersChanged | undefined;
 
+  /** @param windowMs The window over which limits are judged, in milliseconds. */
+  constructor(windowMs: number) {
+    super();
+    this.windowMs = windowMs;
+  }
+
   protected override async onStart(): Promise<void> {
     const subscriber = this.getAddress();
     this.getService(knowledgeService.KNOWLEDGE).post({
@@ -62,7 +69,7 @@
       if (known === undefined)
         this.shares.set(
           organisationId,
-          new shares.OrganisationShare(organisation, nowMs),
+          new shares.OrganisationShare(organisation, this.windowMs, nowMs),
         );
       else known.setOrganisation(organisation);
     }
@@ -88,7 +95,7 @@
         nowMs,
       );
       const threshold = decisions.getReportThreshold(
-        ratePerSecond,
+        share.limitPerSecond,
         otherCount + 1,
       );
       if (share.ownDemandPerSecond > threshold)
@@ -113,8 +120,16 @@
   }
 
   private admit(organisationId: string): messages.ShareResult {
-    const retryAtMs = this.shares.get(organisationId)?.take(this.nowMs());
-    if (retryAtMs === undefined) return {kind: 'granted'};
-    return {kind: 'refused', retryAtMs};
+    const share = this.shares.get(organisationId);
+    const retryAtMs = share?.take(this.nowMs());
+    if (share === undefined || retryAtMs === undefined)
+      return {kind: 'granted'};
+    return {
+      kind: 'refused',
+      retryAtMs,
+      limitPerSecond: share.limitPerSecond,
+      sharePerSecond: share.ownSharePerSecond,
+      demandPerSecond: share.ownDemandPerSecond,
+    };
   }
 }
