--- a/src/decisions/placement/choosePlacement.ts
+++ b/src/decisions/placement/choosePlacement.ts
@@ -6,6 +6,9 @@
   /** Requests that it is thought to run or queue, for everyone. */
   readonly busyCount: number;
 
+  /** Whether it is thought to have handled the object lately. */
+  readonly isWarm: boolean;
+
   /** Whether it may get a request now: reachable, not leaving, and within the pace of a cold one. */
   readonly isOpen: boolean;
 }
@@ -18,15 +21,21 @@
   /** Those that take work are full. */
   | {readonly kind: 'full'};
 
-/** Requests for each slot up to which the first choice gets its objects. */
-const FIRST_CHOICE_LOAD = 1;
+/** Requests for each slot from which on another upstream that has the object warm is looked at. */
+const WARM_CHOICE_LOAD = 1;
+
+/** Load for each slot below the first choice's that makes a warm one worth taking. */
+const WARM_DIFFERENCE = 0.5;
 
-/** Load for each slot below the first choice's that makes another choice worth a cold start there. */
-const WORTHWHILE_DIFFERENCE = 0.34;
+/**
+ * Load for each slot below the first choice's that makes a cold one worth taking: a cold run takes about
+ * three times as long as a warm one, and keeps a slot that long from others.
+ */
+const COLD_DIFFERENCE = 2.3;
 
 /**
- * Chooses among the upstreams that come first for an object. The first keeps its objects, as it has
- * them warm; a later one is taken when the first is full and the later one is well below it.
+ * Chooses among the upstreams that come first for an object. The first has it warm; a later one is taken
+ * only when the wait at the first outweighs what the later one's run takes longer.
  */
 export function choosePlacement(
   ranked: readonly PlacementView[],
@@ -35,10 +44,11 @@
   const open = ranked.filter(view => view.isOpen);
   if (open.length === 0) return {kind: 'none'};
   let best = open[0];
-  for (const view of open.slice(1)) {
-    if (getLoad(best) < FIRST_CHOICE_LOAD) break;
-    if (getLoad(view) < getLoad(best) - WORTHWHILE_DIFFERENCE) best = view;
-  }
+  if (getLoad(best) >= WARM_CHOICE_LOAD)
+    for (const view of open.slice(1)) {
+      const difference = view.isWarm ? WARM_DIFFERENCE : COLD_DIFFERENCE;
+      if (getLoad(view) < getLoad(best) - difference) best = view;
+    }
   if (getLoad(best) >= maxLoad) return {kind: 'full'};
   return {kind: 'chosen', upstreamId: best.upstreamId};
 }
--- a/src/decisions/shares/getLimitShare.ts
+++ b/src/decisions/shares/getLimitShare.ts
@@ -41,8 +41,10 @@
   let total = own;
   for (const demand of input.reportedDemandsPerSecond)
     total += Math.max(least, demand);
-  total += least * Math.max(0, otherCount - input.reportedDemandsPerSecond.length);
-  if (total <= limitPerSecond) return own + (limitPerSecond - total) / memberCount;
+  total +=
+    least * Math.max(0, otherCount - input.reportedDemandsPerSecond.length);
+  if (total <= limitPerSecond)
+    return own + (limitPerSecond - total) / memberCount;
   // The unreported part of everyone stands first; only what is above it is cut.
   const free = limitPerSecond - least * memberCount;
   const excess = total - least * memberCount;
--- a/src/programs/entry/EntryDaemon.ts
+++ b/src/programs/entry/EntryDaemon.ts
@@ -74,15 +74,16 @@
 
   private addRequestPath(): void {
     const {settings, adapters} = this;
-    const {bounds, region} = settings;
+    const {bounds, region, failureDomain} = settings;
     const dispatch = new services.DispatchTask({
-      region,
+      failureDomain,
+      regions: settings.regions,
       bounds,
       codec: adapters.wire,
       seed: crypto.randomInt(2 ** 31),
     });
     const steering = new services.SteeringListenerTask({
-      region,
+      place: {region, failureDomain},
       steering: settings.steering,
       readiness: settings.readiness,
       termMs: Math.min(STEERING_TERM_MS, bounds.steeringTermMs),
@@ -94,11 +95,10 @@
       codec: adapters.wire,
     });
     this.kernel
-      .add(services.SHARES, new services.SharesTask(bounds.limitWindowMs), [services.MEMBERS])
-      .add(services.DISPATCH, dispatch, [
+      .add(services.SHARES, new services.SharesTask(bounds.limitWindowMs), [
         services.MEMBERS,
-        services.KNOWLEDGE,
       ])
+      .add(services.DISPATCH, dispatch, [services.MEMBERS, services.KNOWLEDGE])
       .add(services.STEERING_LISTENER, steering, [services.MEMBERS])
       .add(services.ENTRY, task, [
         services.SHARES,
--- a/src/services/dispatch/DispatchTask.ts
+++ b/src/services/dispatch/DispatchTask.ts
@@ -7,7 +7,7 @@
 import * as knowledgeService from '../knowledge/KnowledgeMessage.js';
 import * as membersService from '../members/MembersMessage.js';
 import type * as messages from './DispatchMessage.js';
-import * as regions from './RegionBalance.js';
+import * as balances from './DomainBalance.js';
 import * as registers from './UpstreamRegister.js';
 import type * as connections from './UpstreamConnections.js';
 
@@ -43,7 +43,10 @@
 
 /** What the dispatch service is told when it is made. */
 export interface DispatchOptions {
-  readonly region: string;
+  readonly failureDomain: string;
+
+  /** The region of each failure domain. */
+  readonly regions: ReadonlyMap<string, string>;
   readonly bounds: entry.EntryBounds;
   readonly codec: codecs.WireCodec;
   readonly seed: number;
@@ -53,7 +56,7 @@
 export class DispatchTask extends base.ServiceTask<messages.DispatchMessage> {
   private readonly options: DispatchOptions;
   private readonly register: registers.UpstreamRegister;
-  private readonly balance: regions.RegionBalance;
+  private readonly balance: balances.DomainBalance;
   private readonly services = new Map<string, ServiceState>();
   private readonly random: pureRand.RandomGenerator;
   private configuration: entry.EntryConfiguration | undefined;
@@ -65,7 +68,11 @@
     super();
     this.options = options;
     this.register = new registers.UpstreamRegister(options.codec);
-    this.balance = new regions.RegionBalance(options.region, this.register);
+    this.balance = new balances.DomainBalance(
+      options.failureDomain,
+      options.regions,
+      this.register,
+    );
     this.random = pureRand.xoroshiro128plus(options.seed);
   }
 
@@ -237,12 +244,10 @@
     const nowMs = this.nowMs();
     const coldRate =
       (state?.service.coldRatePerSecond ?? 0) / this.getMemberCount();
+    const objectName = getObjectName(dispatch);
     const ranked = this.register.rank({
       serviceId,
-      objectName:
-        request.objectKey === ''
-          ? ''
-          : `${route.pathPrefix}${request.objectKey}`,
+      objectName,
       homeRegions: decisions.getHomeRegions(route, organisation),
       random: this.getRandom(),
     });
@@ -251,14 +256,14 @@
       if (tried.includes(upstreamId)) continue;
       const upstream = this.register.get(upstreamId);
       if (upstream !== undefined)
-        views.push(upstream.state.getView(coldRate, nowMs));
+        views.push(upstream.state.getView(objectName, coldRate, nowMs));
     }
     const maxLoad = remainingMs / (state?.workMs ?? FIRST_WORK_MS);
     const placement = decisions.choosePlacement(views, maxLoad);
     this.log('debug', 'requestPlaced', {
       request: request.requestId,
       outcome: placement.kind,
-      object: `${route.pathPrefix}${request.objectKey}`,
+      object: objectName,
       ranked: ranked.join(),
       busy: views.map(view => view.busyCount.toFixed(1)).join(),
       open: views.map(view => view.isOpen).join(),
@@ -282,8 +287,7 @@
     const {request, route, organisation, abandoned} = dispatch;
     const {state} = upstream;
     const startedAtMs = this.nowMs();
-    const wasFree =
-      state.getBusyCount(startedAtMs) < state.record.slotCount;
+    const wasFree = state.getBusyCount(startedAtMs) < state.record.slotCount;
     const sendId = state.addSend(startedAtMs);
     this.balance.addInFlight(state.record.serviceId, 1, startedAtMs);
     const result = await upstream.connections.send({
@@ -301,6 +305,7 @@
     const endedAtMs = this.nowMs();
     this.balance.addInFlight(state.record.serviceId, -1, endedAtMs);
     this.observe('upstream_ms', endedAtMs - startedAtMs);
+    if (result.kind === 'answered') state.addObject(getObjectName(dispatch));
     if (result.kind === 'answered' && wasFree)
       this.addWork(state.record.serviceId, endedAtMs - startedAtMs);
     this.noteResult(upstream, result, endedAtMs);
@@ -376,7 +381,10 @@
           `${upstreamId} sent what is no answer to the request`,
         );
       case 'timedOut':
-        return finish('deadlineExceeded', `${upstreamId} did not answer in time`);
+        return finish(
+          'deadlineExceeded',
+          `${upstreamId} did not answer in time`,
+        );
       case 'abandoned':
         return finish('upstreamFailed', 'the caller left');
       default:
@@ -509,6 +517,13 @@
   return known?.kind === 'mayHaveRun' ? known : next;
 }
 
+/** Names an object among all routes; requests without one get an empty string. */
+function getObjectName({request, route}: messages.EntryDispatch): string {
+  return request.objectKey === ''
+    ? ''
+    : `${route.pathPrefix}${request.objectKey}`;
+}
+
 function getPlacementFailure(
   placement: Exclude<decisions.Placement, {kind: 'chosen'}>,
 ): Failure {
--- a/src/services/dispatch/RegionBalance.ts
+++ b/src/services/dispatch/DomainBalance.ts
@@ -8,15 +8,21 @@
 /** How far shares move in a second as demand changes, as a part of all objects. */
 const DEMAND_STEP_PER_SECOND = 0.02;
 
-/** Shares move this much more when a region's room changes by its whole. */
+/** Shares move this much more when a domain's room changes by its whole. */
 const ROOM_STEP = 1;
 
 /** Changes of shares below this are left, so that objects stay where they are warm. */
-const MIN_STEP = 0.005;
+const MIN_STEP = 0.04;
 
-/** The utilisation that is assumed of every region before any demand is known. */
+/** The most that shares may move at once. */
+const MAX_CREDIT = 1;
+
+/** The utilisation that is assumed of every domain before any demand is known. */
 const FIRST_UTILISATION = 0.5;
 
+/** How much of the assumed demand of one domain must be measured over all before measurements are trusted. */
+const TRUSTED_PART = 0.5;
+
 const MS_PER_SECOND = 1000;
 
 /** Busy slots of one service, averaged over time. */
@@ -26,17 +32,27 @@
   readonly asOfMs: number;
 }
 
-/** Keeps each service's objects divided over the regions by room and demand. */
-export class RegionBalance {
-  private readonly region: string;
+/** Keeps each service's objects divided over the failure domains by room and demand. */
+export class DomainBalance {
+  private readonly failureDomain: string;
+  private readonly regions: ReadonlyMap<string, string>;
   private readonly register: registers.UpstreamRegister;
   private readonly busy = new Map<string, Busy>();
   private readonly capacities = new Map<string, ReadonlyMap<string, number>>();
+  private readonly credit = new Map<string, number>();
   private updatedAtMs: number | undefined;
 
-  /** @param region The region whose callers come to this VM. */
-  constructor(region: string, register: registers.UpstreamRegister) {
-    this.region = region;
+  /**
+   * @param failureDomain The domain whose callers come to this VM.
+   * @param regions The region of each failure domain.
+   */
+  constructor(
+    failureDomain: string,
+    regions: ReadonlyMap<string, string>,
+    register: registers.UpstreamRegister,
+  ) {
+    this.failureDomain = failureDomain;
+    this.regions = regions;
     this.register = register;
   }
 
@@ -87,45 +103,63 @@
     const capacities = this.register.getCapacities(serviceId);
     if (capacities.size === 0) return;
     const loads = this.getLoads(serviceId, capacities, statuses);
-    const target = decisions.getRegionShares(loads, this.region);
+    const target = decisions.getDomainShares(loads, this.failureDomain);
     const current = this.register.getShares(serviceId);
-    const maxStep =
-      (DEMAND_STEP_PER_SECOND * elapsedMs) / MS_PER_SECOND +
-      ROOM_STEP * this.getRoomChange(serviceId, capacities);
+    const roomChange = this.getRoomChange(serviceId, capacities);
     this.capacities.set(serviceId, capacities);
+    if (current === undefined) {
+      this.register.setShares(serviceId, target);
+      return;
+    }
+    // Small changes are saved up, so that objects stay where they are warm.
+    this.credit.set(
+      serviceId,
+      Math.min(
+        MAX_CREDIT,
+        (this.credit.get(serviceId) ?? 0) +
+          (DEMAND_STEP_PER_SECOND * elapsedMs) / MS_PER_SECOND +
+          ROOM_STEP * roomChange,
+      ),
+    );
+    const maxStep = this.credit.get(serviceId) ?? 0;
     const next = decisions.stepShares(current, target, maxStep);
-    if (getDistance(current, next) >= Math.min(MIN_STEP, maxStep))
-      this.register.setShares(serviceId, next);
+    const moved = decisions.getDistance(current, next);
+    if (moved < MIN_STEP) return;
+    this.credit.set(serviceId, maxStep - moved);
+    this.register.setShares(serviceId, next);
   }
 
   private getLoads(
     serviceId: string,
     capacities: ReadonlyMap<string, number>,
     statuses: readonly entry.MemberStatus[],
-  ): readonly decisions.RegionLoad[] {
+  ): readonly decisions.DomainLoad[] {
     const demands = new Map<string, number>();
-    const add = (region: string, slots: number) =>
-      demands.set(region, (demands.get(region) ?? 0) + slots);
-    add(this.region, this.busy.get(serviceId)?.averageSlots ?? 0);
+    const add = (domain: string, slots: number) =>
+      demands.set(domain, (demands.get(domain) ?? 0) + slots);
+    add(this.failureDomain, this.busy.get(serviceId)?.averageSlots ?? 0);
     for (const {member, serviceDemands} of statuses)
       for (const demand of serviceDemands)
         if (demand.serviceId === serviceId)
-          add(member.region, demand.busySlots);
+          add(member.failureDomain, demand.busySlots);
     const capacity = [...capacities.values()].reduce((a, b) => a + b, 0);
-    const names = new Set([...capacities.keys(), this.region]);
-    const prior = (FIRST_UTILISATION * capacity) / names.size;
+    const prior = (FIRST_UTILISATION * capacity) / this.regions.size;
     const measured = [...demands.values()].reduce((a, b) => a + b, 0);
-    // Before traffic has come the regions are taken to be alike.
-    const trust = Math.min(1, measured / (prior + Number.EPSILON));
-    return [...names].map(region => ({
+    // Before traffic has come the domains are taken to be alike.
+    const trust = Math.min(
+      1,
+      (TRUSTED_PART * measured) / (prior + Number.EPSILON),
+    );
+    return [...this.regions].map(([failureDomain, region]) => ({
+      failureDomain,
       region,
       demandSlots:
-        trust * (demands.get(region) ?? 0) + (1 - trust) * prior,
-      capacitySlots: capacities.get(region) ?? 0,
+        trust * (demands.get(failureDomain) ?? 0) + (1 - trust) * prior,
+      capacitySlots: capacities.get(failureDomain) ?? 0,
     }));
   }
 
-  /** Gets the part by which the room of any region has changed since the last update. */
+  /** Gets the part by which the room of any domain has changed since the last update. */
   private getRoomChange(
     serviceId: string,
     capacities: ReadonlyMap<string, number>,
@@ -133,9 +167,9 @@
     const known = this.capacities.get(serviceId);
     if (known === undefined) return 1;
     let change = 0;
-    for (const region of new Set([...known.keys(), ...capacities.keys()])) {
-      const before = known.get(region) ?? 0;
-      const after = capacities.get(region) ?? 0;
+    for (const domain of new Set([...known.keys(), ...capacities.keys()])) {
+      const before = known.get(domain) ?? 0;
+      const after = capacities.get(domain) ?? 0;
       const part = Math.abs(after - before) / Math.max(before, after, 1);
       change = Math.max(change, part);
     }
@@ -148,14 +182,3 @@
   const weight = Math.exp(-(nowMs - busy.asOfMs) / DEMAND_TERM_MS);
   return busy.inFlightCount + (busy.averageSlots - busy.inFlightCount) * weight;
 }
-
-function getDistance(
-  current: decisions.RegionShares | undefined,
-  next: decisions.RegionShares,
-): number {
-  if (current === undefined) return 1;
-  let distance = 0;
-  for (const [region, share] of next)
-    distance += Math.abs(share - (current.get(region) ?? 0)) / 2;
-  return distance;
-}
--- a/src/services/dispatch/UpstreamConnections.ts
+++ b/src/services/dispatch/UpstreamConnections.ts
@@ -209,8 +209,7 @@
     _controller: undici.Dispatcher.DispatchController | null,
     thrown: Error,
   ): void {
-    const reason =
-      (thrown as {readonly code?: string}).code ?? thrown.message;
+    const reason = (thrown as {readonly code?: string}).code ?? thrown.message;
     const wasSent = this.controller !== undefined;
     this.finish({kind: wasSent ? 'broken' : 'notSent', reason});
   }
--- a/src/services/dispatch/UpstreamState.ts
+++ b/src/services/dispatch/UpstreamState.ts
@@ -23,6 +23,9 @@
 /** The busy count that is assumed when an upstream turns requests away without saying how full it is. */
 const SHED_LOAD = 3;
 
+/** The objects of this VM's callers that an upstream is thought to keep warm; others' callers use it too. */
+const MAX_WARM_OBJECTS = 12;
+
 /** What one process knows of one upstream. */
 export class UpstreamState {
   /** The upstream's identifier. */
@@ -33,6 +36,7 @@
 
   private current: entry.UpstreamRecord;
   private readonly sentAtMs = new Map<number, number>();
+  private readonly objects = new Set<string>();
   private nextSendId = 0;
   private lastHeardAtMs = -Infinity;
   private reportedOthers = 0;
@@ -63,7 +67,8 @@
 
   /** Replaces the entry. */
   setRecord(record: entry.UpstreamRecord): void {
-    if (record.startedAtMs !== this.current.startedAtMs) this.isMisdirected = false;
+    if (record.startedAtMs !== this.current.startedAtMs)
+      this.isMisdirected = false;
     this.current = record;
   }
 
@@ -139,13 +144,29 @@
     const ageMs = nowMs - this.reportedAtMs;
     const weight = Math.min(
       1,
-      Math.max(0, (REPORT_TERM_MS - ageMs) / (REPORT_TERM_MS - REPORT_FRESH_MS)),
+      Math.max(
+        0,
+        (REPORT_TERM_MS - ageMs) / (REPORT_TERM_MS - REPORT_FRESH_MS),
+      ),
     );
     return this.ownInFlightCount + this.reportedOthers * weight;
   }
 
-  /** Gets what a placement needs to know, for a VM that may send `coldRatePerSecond` while it is cold. */
+  /** Notes that it ran a request for an object. */
+  addObject(objectName: string): void {
+    this.objects.delete(objectName);
+    this.objects.add(objectName);
+    if (this.objects.size <= MAX_WARM_OBJECTS) return;
+    const [oldest] = this.objects;
+    this.objects.delete(oldest);
+  }
+
+  /**
+   * Gets what a placement needs to know for an object, for a VM that may send `coldRatePerSecond` while the
+   * upstream is cold.
+   */
   getView(
+    objectName: string,
     coldRatePerSecond: number,
     nowMs: number,
   ): decisions.PlacementView {
@@ -153,6 +174,7 @@
       upstreamId: this.upstreamId,
       slotCount: this.current.slotCount,
       busyCount: this.getBusyCount(nowMs),
+      isWarm: this.objects.has(objectName),
       isOpen: this.isOpen(coldRatePerSecond, nowMs),
     };
   }
--- a/src/services/entry/EntryFlow.ts
+++ b/src/services/entry/EntryFlow.ts
@@ -92,7 +92,6 @@
   );
 }
 
-
 function getLimitMessage(
   organisationId: string,
   share: Extract<sharesService.ShareResult, {kind: 'refused'}>,
--- a/src/services/entry/EntryMessage.ts
+++ b/src/services/entry/EntryMessage.ts
@@ -1,3 +1,4 @@
+import type * as decisions from '../../decisions/index.js';
 import * as kernel from '../../kernel/index.js';
 import type * as entry from '../../model/entry/index.js';
 import type * as knowledgeService from '../knowledge/KnowledgeMessage.js';
@@ -10,10 +11,10 @@
   | membersService.MembersChanged
   /** Whether the process takes new callers. */
   | {readonly kind: 'isReady'; readonly reply: kernel.Reply<boolean>}
-  /** Asks for the VMs that a caller in a region may use. */
+  /** Asks for the VMs that a caller may use. */
   | {
       readonly kind: 'steer';
-      readonly region: string;
+      readonly place: decisions.CallerPlace;
       readonly reply: kernel.Reply<readonly entry.MemberRecord[]>;
     };
 
--- a/src/services/entry/EntryTask.ts
+++ b/src/services/entry/EntryTask.ts
@@ -112,7 +112,7 @@
         return;
       case 'steer':
         message.reply(
-          decisions.chooseEntryVms(this.view?.serving ?? [], message.region),
+          decisions.chooseEntryVms(this.view?.serving ?? [], message.place),
         );
         return;
       default:
@@ -126,9 +126,7 @@
     );
   }
 
-  private setOperatorRows(
-    message: knowledgeService.OperatorRowsChanged,
-  ): void {
+  private setOperatorRows(message: knowledgeService.OperatorRowsChanged): void {
     const {configuration} = message.rows;
     const {certainUntilMs} = message;
     if (configuration === this.configuration && this.index !== undefined) {
@@ -254,7 +252,9 @@
     this.count(isNotRun ? 'requests_refused' : 'requests_failed');
     if (error === 'rateLimited') this.count('requests_refused_rate');
     const waitMs =
-      retryAtMs === undefined ? undefined : Math.max(0, retryAtMs - this.nowMs());
+      retryAtMs === undefined
+        ? undefined
+        : Math.max(0, retryAtMs - this.nowMs());
     this.log('info', 'requestRefused', {
       request: requestId,
       error,
--- a/src/services/entry/SteeringListenerTask.ts
+++ b/src/services/entry/SteeringListenerTask.ts
@@ -1,4 +1,5 @@
 import * as h3 from 'h3';
+import type * as decisions from '../../decisions/index.js';
 import * as kernel from '../../kernel/index.js';
 import type * as entry from '../../model/entry/index.js';
 import * as errors from '../../model/errors/index.js';
@@ -14,8 +15,8 @@
   /** The path of the question whether the process takes callers. */
   readonly readinessPath: string;
 
-  /** Gets the region that a caller's question names, or nothing when it names none. */
-  decodeRegion(query: URLSearchParams): string | undefined;
+  /** Gets where a caller is, as far as its question says. */
+  decodePlace(query: URLSearchParams): Partial<decisions.CallerPlace>;
 
   /** Gets the answer that names VMs, as text. */
   encodeVms(vms: readonly entry.MemberRecord[], termMs: number): string;
@@ -23,7 +24,8 @@
 
 /** What the steering listener is told when it is made. */
 export interface SteeringOptions {
-  readonly region: string;
+  /** Where callers are taken to be that do not say. */
+  readonly place: decisions.CallerPlace;
   readonly steering: entry.SocketAddress;
   readonly readiness: entry.SocketAddress;
 
@@ -36,7 +38,8 @@
 const HTTP_UNAVAILABLE = 503;
 
 /** The service of the steering and readiness listeners; it takes no messages. */
-export const STEERING_LISTENER = kernel.getServiceName<never>('steeringListener');
+export const STEERING_LISTENER =
+  kernel.getServiceName<never>('steeringListener');
 
 /** Owns the listeners on which callers ask for VMs and the platform asks for readiness. */
 export class SteeringListenerTask extends base.ServiceTask<never> {
@@ -56,9 +59,7 @@
       h3.toNodeHandler(steeringApp),
     );
     const readinessApp = new h3.H3();
-    readinessApp.get(codec.readinessPath, event =>
-      this.answerReadiness(event),
-    );
+    readinessApp.get(codec.readinessPath, event => this.answerReadiness(event));
     this.readiness = new httpService.HttpListener(
       options.readiness,
       h3.toNodeHandler(readinessApp),
@@ -80,11 +81,13 @@
 
   private async answerSteering(event: h3.H3Event): Promise<string> {
     const {codec, termMs} = this.options;
-    const region =
-      codec.decodeRegion(event.url.searchParams) ?? this.options.region;
+    const place = {
+      ...this.options.place,
+      ...codec.decodePlace(event.url.searchParams),
+    };
     const vms = await this.getService(entryService.ENTRY).ask<
       readonly entry.MemberRecord[]
-    >(reply => ({kind: 'steer', region, reply}));
+    >(reply => ({kind: 'steer', place, reply}));
     this.count('steering_answers');
     event.res.status = vms.length > 0 ? HTTP_OK : HTTP_UNAVAILABLE;
     event.res.headers.set('content-type', 'application/json');
--- a/src/services/knowledge/KnowledgeMessage.ts
+++ b/src/services/knowledge/KnowledgeMessage.ts
@@ -61,5 +61,4 @@
     };
 
 /** The knowledge service. */
-export const KNOWLEDGE =
-  kernel.getServiceName<KnowledgeMessage>('knowledge');
+export const KNOWLEDGE = kernel.getServiceName<KnowledgeMessage>('knowledge');
--- a/src/services/knowledge/KnowledgeTask.ts
+++ b/src/services/knowledge/KnowledgeTask.ts
@@ -149,10 +149,9 @@
       case 'snapshot':
       case 'changes':
         this.applyOperatorReading(reading, sentAtMs);
-        this.postAfter(
-          this.operatorRows === undefined ? RETRY_MS : 0,
-          {kind: 'followOperatorRows'},
-        );
+        this.postAfter(this.operatorRows === undefined ? RETRY_MS : 0, {
+          kind: 'followOperatorRows',
+        });
         return;
       case 'historyGone':
         this.log('warn', 'historyGone', {});
@@ -183,7 +182,8 @@
   ): void {
     const known = this.operatorRows;
     this.operatorReadAtMs = sentAtMs;
-    if (known !== undefined && reading.tableVersion < known.tableVersion) return;
+    if (known !== undefined && reading.tableVersion < known.tableVersion)
+      return;
     const changes: decisions.OperatorRowChange[] = [];
     for (const change of reading.changes) {
       if (change.kind === 'unreadable')
--- a/src/services/peers/answerPeer.ts
+++ b/src/services/peers/answerPeer.ts
@@ -73,11 +73,9 @@
 async function getKnowledge(
   services: kernel.ServiceDirectory,
 ): Promise<peers.PeerAnswer> {
-  const known = await services
-    .getOrThrow(knowledgeService.KNOWLEDGE)
-    .ask<{
-      readonly operatorRows: entry.OperatorRows | undefined;
-      readonly upstreamRows: entry.UpstreamRows | undefined;
-    }>(reply => ({kind: 'getKnowledge', reply}));
+  const known = await services.getOrThrow(knowledgeService.KNOWLEDGE).ask<{
+    readonly operatorRows: entry.OperatorRows | undefined;
+    readonly upstreamRows: entry.UpstreamRows | undefined;
+  }>(reply => ({kind: 'getKnowledge', reply}));
   return {kind: 'knowledge', ...known};
 }
--- a/src/services/shares/OrganisationShare.ts
+++ b/src/services/shares/OrganisationShare.ts
@@ -6,11 +6,11 @@
 
 const MS_PER_SECOND = 1000;
 
-/**
- * Seconds of the rate that the fleet's buckets hold together. The burst itself is spread over the limit's
- * window, so that an organisation may use rate times window plus burst in each window.
- */
-const BUCKET_SECONDS = 0.25;
+/** The part of the burst that is spread over the limit's window; the buckets hold the rest. */
+const SPREAD_PART = 0.5;
+
+/** What a window may hold beside rate times window plus burst: half of the overage that is tolerated. */
+const OVERAGE_PART = 0.05;
 
 /** One VM's part of an organisation's limit, and what its callers ask of it. */
 export class OrganisationShare {
@@ -50,7 +50,10 @@
   /** The limit of the whole fleet with the burst spread over a window, in requests a second. */
   get limitPerSecond(): number {
     const {ratePerSecond, burstRequests} = this.organisation;
-    return ratePerSecond + (burstRequests * MS_PER_SECOND) / this.windowMs;
+    return (
+      ratePerSecond +
+      (SPREAD_PART * burstRequests * MS_PER_SECOND) / this.windowMs
+    );
   }
 
   /** This VM's part of the limit, in requests a second. */
@@ -96,7 +99,9 @@
   }
 
   private fill(nowMs: number): void {
-    const burst = Math.max(1, BUCKET_SECONDS * this.sharePerSecond);
+    const part =
+      this.limitPerSecond > 0 ? this.sharePerSecond / this.limitPerSecond : 0;
+    const burst = Math.max(1, this.getFleetBurst() * part);
     this.bucket = decisions.fillBucket(
       this.bucket,
       this.sharePerSecond,
@@ -105,6 +110,16 @@
     );
   }
 
+  /** Gets what the fleet's buckets hold together: what a window may hold less what flows in during it. */
+  private getFleetBurst(): number {
+    const {ratePerSecond, burstRequests} = this.organisation;
+    const windowSeconds = this.windowMs / MS_PER_SECOND;
+    return (
+      (1 + OVERAGE_PART) * (ratePerSecond * windowSeconds + burstRequests) -
+      this.limitPerSecond * windowSeconds
+    );
+  }
+
   private updateDemand(nowMs: number): void {
     const elapsedMs = nowMs - this.countedSinceMs;
     if (elapsedMs <= 0) return;
--- a/src/services/shares/SharesTask.ts
+++ b/src/services/shares/SharesTask.ts
@@ -110,7 +110,10 @@
   private getReportedDemands(): ReadonlyMap<string, readonly number[]> {
     const reported = new Map<string, number[]>();
     for (const status of this.view?.statuses ?? []) {
-      for (const {organisationId, ratePerSecond} of status.organisationDemands) {
+      for (const {
+        organisationId,
+        ratePerSecond,
+      } of status.organisationDemands) {
         const demands = reported.get(organisationId) ?? [];
         demands.push(ratePerSecond);
         reported.set(organisationId, demands);
--- a/src/services/store/StoreTask.ts
+++ b/src/services/store/StoreTask.ts
@@ -34,7 +34,11 @@
     const {adapter} = this;
     switch (message.kind) {
       case 'readOperatorRows':
-        this.run(adapter.readOperatorRows(ANSWER_TIMEOUT_MS), message.reply, getUnavailable);
+        this.run(
+          adapter.readOperatorRows(ANSWER_TIMEOUT_MS),
+          message.reply,
+          getUnavailable,
+        );
         return;
       case 'awaitOperatorRows':
         this.run(
@@ -48,10 +52,18 @@
         );
         return;
       case 'readUpstreamRows':
-        this.run(adapter.readUpstreamRows(ANSWER_TIMEOUT_MS), message.reply, getUnavailable);
+        this.run(
+          adapter.readUpstreamRows(ANSWER_TIMEOUT_MS),
+          message.reply,
+          getUnavailable,
+        );
         return;
       case 'readMembers':
-        this.run(adapter.readMembers(ANSWER_TIMEOUT_MS), message.reply, getUnavailable);
+        this.run(
+          adapter.readMembers(ANSWER_TIMEOUT_MS),
+          message.reply,
+          getUnavailable,
+        );
         return;
       case 'writeMember':
         this.run(
