Rank regions without a share last, and let queues at upstreams stay short

Cause: shares that were worked out while only one region's upstreams had registered named that region alone; the other regions' upstreams were then weighted by their slots, a hundred times too much, so that six of 20 upstreams got nearly all objects (35 objects against 2) and stood at their queue's end while others idled.

--- a/src/decisions/placement/choosePlacement.ts
+++ b/src/decisions/placement/choosePlacement.ts
@@ -25,34 +25,51 @@
 const WARM_CHOICE_LOAD = 1;
 
 /** Load for each slot below the first choice's that makes a warm one worth taking. */
-const WARM_DIFFERENCE = 0.5;
+const WARM_DIFFERENCE = 0.34;
+
+/** Requests for each slot from which on an upstream that would run the request cold is looked at. */
+const COLD_CHOICE_LOAD = 1.6;
+
+/** Load for each slot below which an upstream has room for a cold run, which keeps a slot three times as long. */
+const COLD_ROOM_LOAD = 0.7;
 
 /**
- * Load for each slot below the first choice's that makes a cold one worth taking: a cold run takes about
- * three times as long as a warm one, and keeps a slot that long from others.
+ * Requests for each slot from which on an upstream gets no more. Behind a longer queue cold runs reach their
+ * time limit before they are done: their work is lost, nothing turns warm, and the queue stays.
  */
-const COLD_DIFFERENCE = 2.3;
+const MAX_LOAD = 2.3;
 
 /**
- * Chooses among the upstreams that come first for an object. The first has it warm; a later one is taken
- * only when the wait at the first outweighs what the later one's run takes longer.
+ * Chooses among the upstreams that come first for an object. The first has it warm; while it is busy, one
+ * that has it warm as well takes over, and when it has a queue, one with idle slots may run it cold.
  */
-export function choosePlacement(
-  ranked: readonly PlacementView[],
-  maxLoad: number,
-): Placement {
+export function choosePlacement(ranked: readonly PlacementView[]): Placement {
   const open = ranked.filter(view => view.isOpen);
   if (open.length === 0) return {kind: 'none'};
-  let best = open[0];
-  if (getLoad(best) >= WARM_CHOICE_LOAD)
-    for (const view of open.slice(1)) {
-      const difference = view.isWarm ? WARM_DIFFERENCE : COLD_DIFFERENCE;
-      if (getLoad(view) < getLoad(best) - difference) best = view;
-    }
-  if (getLoad(best) >= maxLoad) return {kind: 'full'};
+  const [first] = open;
+  let best = first;
+  for (const view of open.slice(1))
+    if (isBetter(view, best, getLoad(first))) best = view;
+  if (getLoad(best) >= MAX_LOAD) return {kind: 'full'};
   return {kind: 'chosen', upstreamId: best.upstreamId};
 }
 
+function isBetter(
+  view: PlacementView,
+  best: PlacementView,
+  firstLoad: number,
+): boolean {
+  const load = getLoad(view);
+  if (load >= getLoad(best)) return false;
+  if (view.isWarm)
+    return (
+      firstLoad >= WARM_CHOICE_LOAD && load <= getLoad(best) - WARM_DIFFERENCE
+    );
+  // A warm one that was found stands, unless it has a queue itself.
+  const isNeeded = getLoad(best) >= COLD_CHOICE_LOAD;
+  return firstLoad >= COLD_CHOICE_LOAD && isNeeded && load < COLD_ROOM_LOAD;
+}
+
 function getLoad(view: PlacementView): number {
   return view.busyCount / Math.max(1, view.slotCount);
 }
--- a/src/decisions/placement/index.ts
+++ b/src/decisions/placement/index.ts
@@ -1,4 +1,4 @@
 export * from './choosePlacement.js';
-export * from './getDomainShares.js';
+export * from './getRegionShares.js';
 export * from './hash.js';
 export * from './rankUpstreams.js';
--- a/src/model/entry/EntrySettings.ts
+++ b/src/model/entry/EntrySettings.ts
@@ -43,4 +43,7 @@
   readonly peers: SocketAddress;
   readonly metrics: SocketAddress;
   readonly bounds: EntryBounds;
+
+  /** The least level of log lines that are written. */
+  readonly logLevel: 'debug' | 'info' | 'warn' | 'error';
 }
--- a/src/programs/entry/EntryDaemon.ts
+++ b/src/programs/entry/EntryDaemon.ts
@@ -48,7 +48,7 @@
   private addBasics(): void {
     const {settings, adapters} = this;
     this.kernel
-      .add(services.LOG, new services.LogTask('info', settings.vmId))
+      .add(services.LOG, new services.LogTask(settings.logLevel, settings.vmId))
       .add(services.METRICS, new services.MetricsTask(settings.metrics), [
         services.LOG,
       ])
@@ -76,8 +76,7 @@
     const {settings, adapters} = this;
     const {bounds, region, failureDomain} = settings;
     const dispatch = new services.DispatchTask({
-      failureDomain,
-      regions: settings.regions,
+      region,
       bounds,
       codec: adapters.wire,
       seed: crypto.randomInt(2 ** 31),
--- a/src/services/dispatch/DispatchTask.ts
+++ b/src/services/dispatch/DispatchTask.ts
@@ -7,7 +7,7 @@
 import * as knowledgeService from '../knowledge/KnowledgeMessage.js';
 import * as membersService from '../members/MembersMessage.js';
 import type * as messages from './DispatchMessage.js';
-import * as balances from './DomainBalance.js';
+import * as balances from './RegionBalance.js';
 import * as registers from './UpstreamRegister.js';
 import type * as connections from './UpstreamConnections.js';
 
@@ -43,10 +43,7 @@
 
 /** What the dispatch service is told when it is made. */
 export interface DispatchOptions {
-  readonly failureDomain: string;
-
-  /** The region of each failure domain. */
-  readonly regions: ReadonlyMap<string, string>;
+  readonly region: string;
   readonly bounds: entry.EntryBounds;
   readonly codec: codecs.WireCodec;
   readonly seed: number;
@@ -56,7 +53,7 @@
 export class DispatchTask extends base.ServiceTask<messages.DispatchMessage> {
   private readonly options: DispatchOptions;
   private readonly register: registers.UpstreamRegister;
-  private readonly balance: balances.DomainBalance;
+  private readonly balance: balances.RegionBalance;
   private readonly services = new Map<string, ServiceState>();
   private readonly random: pureRand.RandomGenerator;
   private configuration: entry.EntryConfiguration | undefined;
@@ -68,11 +65,7 @@
     super();
     this.options = options;
     this.register = new registers.UpstreamRegister(options.codec);
-    this.balance = new balances.DomainBalance(
-      options.failureDomain,
-      options.regions,
-      this.register,
-    );
+    this.balance = new balances.RegionBalance(options.region, this.register);
     this.random = pureRand.xoroshiro128plus(options.seed);
   }
 
@@ -190,7 +183,9 @@
 
   private tick(): void {
     const serviceIds = [...this.services.keys()];
-    this.balance.update(serviceIds, this.view?.statuses ?? [], this.nowMs());
+    const statuses = this.view?.statuses ?? [];
+    for (const move of this.balance.update(serviceIds, statuses, this.nowMs()))
+      this.logSharesMoved(move);
     this.getService(membersService.MEMBERS).post({
       kind: 'setServiceDemands',
       demands: this.balance.getOwnDemands(),
@@ -258,8 +253,7 @@
       if (upstream !== undefined)
         views.push(upstream.state.getView(objectName, coldRate, nowMs));
     }
-    const maxLoad = remainingMs / (state?.workMs ?? FIRST_WORK_MS);
-    const placement = decisions.choosePlacement(views, maxLoad);
+    const placement = decisions.choosePlacement(views);
     this.log('debug', 'requestPlaced', {
       request: request.requestId,
       outcome: placement.kind,
@@ -445,6 +439,21 @@
     return (this.view?.otherCount ?? 0) + 1;
   }
 
+  private logSharesMoved(move: balances.SharesMoved): void {
+    const shares = [...move.shares].map(
+      ([region, share]) => `${region}:${share.toFixed(2)}`,
+    );
+    const loads = move.loads.map(
+      ({region, demandSlots, capacitySlots}) =>
+        `${region}:${demandSlots.toFixed(1)}/${capacitySlots}`,
+    );
+    this.log('info', 'regionSharesMoved', {
+      service: move.serviceId,
+      shares: shares.join(),
+      loads: loads.join(),
+    });
+  }
+
   private logAvoided(upstreamId: string, reason: string): void {
     this.log('warn', 'upstreamAvoided', {upstream: upstreamId, reason});
   }
--- a/src/services/dispatch/DomainBalance.ts
+++ b/src/services/dispatch/RegionBalance.ts
@@ -8,7 +8,7 @@
 /** How far shares move in a second as demand changes, as a part of all objects. */
 const DEMAND_STEP_PER_SECOND = 0.02;
 
-/** Shares move this much more when a domain's room changes by its whole. */
+/** Shares move this much more when a region's room changes by its whole. */
 const ROOM_STEP = 1;
 
 /** Changes of shares below this are left, so that objects stay where they are warm. */
@@ -17,10 +17,10 @@
 /** The most that shares may move at once. */
 const MAX_CREDIT = 1;
 
-/** The utilisation that is assumed of every domain before any demand is known. */
+/** The utilisation that is assumed of every region before any demand is known. */
 const FIRST_UTILISATION = 0.5;
 
-/** How much of the assumed demand of one domain must be measured over all before measurements are trusted. */
+/** How much of the assumed demand of one region must be measured over all before measurements are trusted. */
 const TRUSTED_PART = 0.5;
 
 const MS_PER_SECOND = 1000;
@@ -32,27 +32,25 @@
   readonly asOfMs: number;
 }
 
-/** Keeps each service's objects divided over the failure domains by room and demand. */
-export class DomainBalance {
-  private readonly failureDomain: string;
-  private readonly regions: ReadonlyMap<string, string>;
+/** A change of the shares of one service, with what decided it. */
+export interface SharesMoved {
+  readonly serviceId: string;
+  readonly shares: decisions.RegionShares;
+  readonly loads: readonly decisions.RegionLoad[];
+}
+
+/** Keeps each service's objects divided over the regions by room and demand. */
+export class RegionBalance {
+  private readonly region: string;
   private readonly register: registers.UpstreamRegister;
   private readonly busy = new Map<string, Busy>();
   private readonly capacities = new Map<string, ReadonlyMap<string, number>>();
   private readonly credit = new Map<string, number>();
   private updatedAtMs: number | undefined;
 
-  /**
-   * @param failureDomain The domain whose callers come to this VM.
-   * @param regions The region of each failure domain.
-   */
-  constructor(
-    failureDomain: string,
-    regions: ReadonlyMap<string, string>,
-    register: registers.UpstreamRegister,
-  ) {
-    this.failureDomain = failureDomain;
-    this.regions = regions;
+  /** @param region The region whose callers come to this VM. */
+  constructor(region: string, register: registers.UpstreamRegister) {
+    this.region = region;
     this.register = register;
   }
 
@@ -75,12 +73,13 @@
     }));
   }
 
-  /** Moves the shares of all services towards what demand and room ask for. */
+  /** Moves the shares of all services towards what demand and room ask for; gives those that moved. */
   update(
     serviceIds: readonly string[],
     statuses: readonly entry.MemberStatus[],
     nowMs: number,
-  ): void {
+  ): readonly SharesMoved[] {
+    const moves: SharesMoved[] = [];
     const elapsedMs = nowMs - (this.updatedAtMs ?? nowMs);
     this.updatedAtMs = nowMs;
     for (const serviceId of serviceIds) {
@@ -91,25 +90,27 @@
           averageSlots: getAverage(known, nowMs),
           asOfMs: nowMs,
         });
-      this.updateService(serviceId, statuses, elapsedMs);
+      const move = this.updateService(serviceId, statuses, elapsedMs);
+      if (move !== undefined) moves.push(move);
     }
+    return moves;
   }
 
   private updateService(
     serviceId: string,
     statuses: readonly entry.MemberStatus[],
     elapsedMs: number,
-  ): void {
+  ): SharesMoved | undefined {
     const capacities = this.register.getCapacities(serviceId);
-    if (capacities.size === 0) return;
+    if (capacities.size === 0) return undefined;
     const loads = this.getLoads(serviceId, capacities, statuses);
-    const target = decisions.getDomainShares(loads, this.failureDomain);
+    const target = decisions.getRegionShares(loads, this.region);
     const current = this.register.getShares(serviceId);
     const roomChange = this.getRoomChange(serviceId, capacities);
     this.capacities.set(serviceId, capacities);
     if (current === undefined) {
       this.register.setShares(serviceId, target);
-      return;
+      return {serviceId, shares: target, loads};
     }
     // Small changes are saved up, so that objects stay where they are warm.
     this.credit.set(
@@ -124,42 +125,42 @@
     const maxStep = this.credit.get(serviceId) ?? 0;
     const next = decisions.stepShares(current, target, maxStep);
     const moved = decisions.getDistance(current, next);
-    if (moved < MIN_STEP) return;
+    if (moved < MIN_STEP) return undefined;
     this.credit.set(serviceId, maxStep - moved);
     this.register.setShares(serviceId, next);
+    return {serviceId, shares: next, loads};
   }
 
   private getLoads(
     serviceId: string,
     capacities: ReadonlyMap<string, number>,
     statuses: readonly entry.MemberStatus[],
-  ): readonly decisions.DomainLoad[] {
+  ): readonly decisions.RegionLoad[] {
     const demands = new Map<string, number>();
-    const add = (domain: string, slots: number) =>
-      demands.set(domain, (demands.get(domain) ?? 0) + slots);
-    add(this.failureDomain, this.busy.get(serviceId)?.averageSlots ?? 0);
+    const add = (region: string, slots: number) =>
+      demands.set(region, (demands.get(region) ?? 0) + slots);
+    add(this.region, this.busy.get(serviceId)?.averageSlots ?? 0);
     for (const {member, serviceDemands} of statuses)
       for (const demand of serviceDemands)
         if (demand.serviceId === serviceId)
-          add(member.failureDomain, demand.busySlots);
+          add(member.region, demand.busySlots);
     const capacity = [...capacities.values()].reduce((a, b) => a + b, 0);
-    const prior = (FIRST_UTILISATION * capacity) / this.regions.size;
+    const regions = new Set([...capacities.keys(), this.region]);
+    const prior = (FIRST_UTILISATION * capacity) / regions.size;
     const measured = [...demands.values()].reduce((a, b) => a + b, 0);
-    // Before traffic has come the domains are taken to be alike.
+    // Before traffic has come the regions are taken to be alike.
     const trust = Math.min(
       1,
       (TRUSTED_PART * measured) / (prior + Number.EPSILON),
     );
-    return [...this.regions].map(([failureDomain, region]) => ({
-      failureDomain,
+    return [...regions].map(region => ({
       region,
-      demandSlots:
-        trust * (demands.get(failureDomain) ?? 0) + (1 - trust) * prior,
-      capacitySlots: capacities.get(failureDomain) ?? 0,
+      demandSlots: trust * (demands.get(region) ?? 0) + (1 - trust) * prior,
+      capacitySlots: capacities.get(region) ?? 0,
     }));
   }
 
-  /** Gets the part by which the room of any domain has changed since the last update. */
+  /** Gets the part by which the room of any region has changed since the last update. */
   private getRoomChange(
     serviceId: string,
     capacities: ReadonlyMap<string, number>,
@@ -167,9 +168,9 @@
     const known = this.capacities.get(serviceId);
     if (known === undefined) return 1;
     let change = 0;
-    for (const domain of new Set([...known.keys(), ...capacities.keys()])) {
-      const before = known.get(domain) ?? 0;
-      const after = capacities.get(domain) ?? 0;
+    for (const region of new Set([...known.keys(), ...capacities.keys()])) {
+      const before = known.get(region) ?? 0;
+      const after = capacities.get(region) ?? 0;
       const part = Math.abs(after - before) / Math.max(before, after, 1);
       change = Math.max(change, part);
     }
--- a/src/services/dispatch/UpstreamRegister.ts
+++ b/src/services/dispatch/UpstreamRegister.ts
@@ -43,7 +43,7 @@
     string,
     readonly decisions.RankedUpstream[]
   >();
-  private readonly shares = new Map<string, decisions.DomainShares>();
+  private readonly shares = new Map<string, decisions.RegionShares>();
   private evacuated: ReadonlySet<string> = new Set();
 
   /** @param codec How requests to upstreams are written. */
@@ -92,25 +92,25 @@
     return returned;
   }
 
-  /** Gets the slots of a service's usable upstreams, by failure domain. */
+  /** Gets the slots of a service's usable upstreams, by region. */
   getCapacities(serviceId: string): ReadonlyMap<string, number> {
     const capacities = new Map<string, number>();
     for (const {state} of this.upstreams.values()) {
       const {record} = state;
       if (record.serviceId !== serviceId || !this.isUsable(record)) continue;
-      const known = capacities.get(record.failureDomain) ?? 0;
-      capacities.set(record.failureDomain, known + record.slotCount);
+      const known = capacities.get(record.region) ?? 0;
+      capacities.set(record.region, known + record.slotCount);
     }
     return capacities;
   }
 
-  /** Gets the part of a service's objects that goes to each failure domain. */
-  getShares(serviceId: string): decisions.DomainShares | undefined {
+  /** Gets the part of a service's objects that goes to each region. */
+  getShares(serviceId: string): decisions.RegionShares | undefined {
     return this.shares.get(serviceId);
   }
 
-  /** Replaces the part of a service's objects that goes to each failure domain. */
-  setShares(serviceId: string, shares: decisions.DomainShares): void {
+  /** Replaces the part of a service's objects that goes to each region. */
+  setShares(serviceId: string, shares: decisions.RegionShares): void {
     this.shares.set(serviceId, shares);
     this.forgetRankings();
   }
@@ -188,9 +188,10 @@
       if (record.serviceId !== serviceId || !this.isUsable(record)) continue;
       if (homeRegions !== undefined && !homeRegions.includes(record.region))
         continue;
-      const capacity = capacities.get(record.failureDomain) ?? 0;
-      const share = shares?.get(record.failureDomain) ?? capacity;
-      // A domain that gets nothing as a rule still comes last, for when all others are gone.
+      const capacity = capacities.get(record.region) ?? 0;
+      const share =
+        shares === undefined ? capacity : (shares.get(record.region) ?? 0);
+      // A region that gets nothing as a rule still comes last, for when all others are gone.
       const weight = (Math.max(share, MIN_SHARE) * record.slotCount) / capacity;
       candidates.push({upstreamId: state.upstreamId, hash: state.hash, weight});
     }
@@ -209,7 +210,7 @@
   }
 }
 
-/** The least part of the objects that a domain is ranked with. */
+/** The least part of the objects that a region is ranked with. */
 const MIN_SHARE = 1e-6;
 
 /** Whether an identifier now stands for another process: it started again or lives elsewhere. */
--- a/src/services/dispatch/UpstreamState.ts
+++ b/src/services/dispatch/UpstreamState.ts
@@ -109,8 +109,8 @@
   /** Notes a refusal. */
   addShed(load: codecs.UpstreamLoad | undefined, nowMs: number): void {
     this.lastHeardAtMs = nowMs;
-    const least = this.current.slotCount * SHED_LOAD;
-    this.setReport(Math.max(least, load?.busyCount ?? 0), nowMs);
+    const assumed = this.current.slotCount * SHED_LOAD;
+    this.setReport(load?.busyCount ?? assumed, nowMs);
   }
 
   /** Notes that it could not be reached or broke off; gives the pause that follows, in milliseconds. */
