--- a/src/decisions/placement/choosePlacement.ts
+++ b/src/decisions/placement/choosePlacement.ts
@@ -28,10 +28,10 @@
 const WARM_DIFFERENCE = 0.34;
 
 /** Requests for each slot from which on an upstream that would run the request cold is looked at. */
-const COLD_CHOICE_LOAD = 1.6;
+const COLD_CHOICE_LOAD = 2;
 
 /** Load for each slot below which an upstream has room for a cold run, which keeps a slot three times as long. */
-const COLD_ROOM_LOAD = 0.7;
+const COLD_ROOM_LOAD = 0.4;
 
 /**
  * Requests for each slot from which on an upstream gets no more. Behind a longer queue cold runs reach their
--- a/src/model/entry/EntryRequest.ts
+++ b/src/model/entry/EntryRequest.ts
@@ -35,5 +35,8 @@
   readonly headers: readonly string[];
 
   readonly body: Uint8Array;
+
+  /** What ended the body: its stated length, or the upstream's connection, which proves nothing. */
+  readonly framing: 'length' | 'connection';
   readonly upstreamId: string;
 }
--- a/src/services/base/ServiceTask.ts
+++ b/src/services/base/ServiceTask.ts
@@ -19,7 +19,7 @@
   protected log(
     level: logs.LogMessage['level'],
     name: events.EventName,
-    fields: logs.LogFields,
+    fields: logs.LogMessage['fields'],
   ): void {
     this.getService(logs.LOG).post({kind: 'event', level, name, fields});
   }
--- a/src/services/dispatch/DispatchTask.ts
+++ b/src/services/dispatch/DispatchTask.ts
@@ -253,14 +253,14 @@
         views.push(upstream.state.getView(objectName, coldRate, nowMs));
     }
     const placement = decisions.choosePlacement(views);
-    this.log('debug', 'requestPlaced', {
+    this.log('debug', 'requestPlaced', () => ({
       request: request.requestId,
       outcome: placement.kind,
       object: objectName,
       ranked: ranked.join(),
       busy: views.map(view => view.busyCount.toFixed(1)).join(),
       open: views.map(view => view.isOpen).join(),
-    });
+    }));
     if (placement.kind === 'chosen')
       this.count(
         placement.upstreamId === ranked[0]
--- a/src/services/dispatch/UpstreamConnections.ts
+++ b/src/services/dispatch/UpstreamConnections.ts
@@ -158,6 +158,7 @@
   private readonly onAbandoned = () => this.abort({kind: 'abandoned'});
   private controller: undici.Dispatcher.DispatchController | undefined;
   private httpStatus = 0;
+  private framing: entry.EntryAnswer['framing'] = 'length';
   private envelope: codecs.AnswerEnvelope | undefined;
   private isSettled = false;
 
@@ -201,6 +202,10 @@
     }
     this.httpStatus = httpStatus;
     this.envelope = envelope;
+    const isFramed =
+      headers['content-length'] !== undefined ||
+      headers['transfer-encoding'] !== undefined;
+    this.framing = isFramed ? 'length' : 'connection';
   }
 
   onResponseData(
@@ -231,6 +236,7 @@
               this.chunks.length === 1
                 ? this.chunks[0]
                 : Buffer.concat(this.chunks),
+            framing: this.framing,
             upstreamId: this.upstreamId,
           },
           load: envelope.load,
--- a/src/services/entry/EntryTask.ts
+++ b/src/services/entry/EntryTask.ts
@@ -219,13 +219,13 @@
       case 'answered': {
         const {answer} = result;
         this.count('requests_answered');
-        this.log('debug', 'requestServed', {
+        this.log('debug', 'requestServed', () => ({
           request: request.requestId,
           upstream: answer.upstreamId,
           status: answer.httpStatus,
           tookMs: Math.round(this.nowMs() - request.arrivedAtMs),
-        });
-        this.send(response, answer.httpStatus, answer.headers, answer.body);
+        }));
+        this.writeAnswer(response, request.requestId, answer);
         return;
       }
       case 'failed':
@@ -236,6 +236,33 @@
     }
   }
 
+  /** Writes an answer; one whose end its upstream's connection marked is not given a length either. */
+  private writeAnswer(
+    response: http.ServerResponse,
+    requestId: string,
+    answer: entry.EntryAnswer,
+  ): void {
+    const {httpStatus, headers, body} = answer;
+    switch (answer.framing) {
+      case 'length':
+        this.send(response, httpStatus, headers, body);
+        return;
+      case 'connection':
+        if (this.getBehindCount(response) > 0)
+          // Its end would close the connection to requests that have run, or are running, behind it.
+          this.fail(response, requestId, {
+            kind: 'failed',
+            error: 'upstreamFailed',
+            message: `${answer.upstreamId} gave an answer without a length`,
+            retryAtMs: undefined,
+          });
+        else this.sendUnframed(response, answer);
+        return;
+      default:
+        errors.throwUnreachable(answer.framing);
+    }
+  }
+
   private fail(
     response: http.ServerResponse,
     requestId: string,
@@ -269,9 +296,8 @@
     headers: readonly string[],
     body: Uint8Array,
   ): void {
-    const {socket} = response.req;
-    const waiting = (this.waiting.get(socket) ?? 1) - 1;
-    this.waiting.set(socket, waiting);
+    const waiting = this.getBehindCount(response);
+    this.waiting.set(response.req.socket, waiting);
     if (response.destroyed || response.headersSent) return;
     const written = [...headers, 'content-length', String(body.length)];
     // A close would drop the requests that came behind this one, so the last of them brings it.
@@ -281,6 +307,22 @@
     response.end(body);
   }
 
+  private sendUnframed(
+    response: http.ServerResponse,
+    {httpStatus, headers, body}: entry.EntryAnswer,
+  ): void {
+    this.waiting.set(response.req.socket, 0);
+    if (response.destroyed || response.headersSent) return;
+    response.removeHeader('transfer-encoding');
+    response.writeHead(httpStatus, [...headers, 'connection', 'close']);
+    response.end(body);
+  }
+
+  /** Gets how many other requests of the same connection are unanswered. */
+  private getBehindCount(response: http.ServerResponse): number {
+    return (this.waiting.get(response.req.socket) ?? 1) - 1;
+  }
+
   private wait(delayMs: number): Promise<void> {
     return new Promise(resolve => {
       this.getContext().timers.after(delayMs, resolve);
--- a/src/services/http/readBody.ts
+++ b/src/services/http/readBody.ts
@@ -30,7 +30,9 @@
       else reject(getInvalid(`the body is over ${maxBytes} bytes`));
     });
     request.on('error', () => reject(getInvalid('the body broke off')));
-    request.on('close', () => reject(getInvalid('the body broke off')));
+    request.on('close', () => {
+      if (!request.readableEnded) reject(getInvalid('the body broke off'));
+    });
   });
 }
 
--- a/src/services/logs/LogMessage.ts
+++ b/src/services/logs/LogMessage.ts
@@ -9,7 +9,9 @@
   readonly kind: 'event';
   readonly level: 'debug' | 'info' | 'warn' | 'error';
   readonly name: events.EventName;
-  readonly fields: LogFields;
+
+  /** The values, or what gets them when the line is written at all. */
+  readonly fields: LogFields | (() => LogFields);
 }
 
 /** The log service. */
--- a/src/services/logs/LogTask.ts
+++ b/src/services/logs/LogTask.ts
@@ -55,7 +55,10 @@
   }
 
   protected override receive(message: messages.LogMessage): void {
-    this.logger?.[message.level]({event: message.name, ...message.fields});
+    const {level, name, fields} = message;
+    if (!this.logger?.isLevelEnabled(level)) return;
+    const values = typeof fields === 'function' ? fields() : fields;
+    this.logger[level]({event: name, ...values});
   }
 }
 
--- a/test/platform/entry.test.ts
+++ b/test/platform/entry.test.ts
@@ -168,6 +168,9 @@
         const answer = await fleet.call(0, {requestId: 'whole'});
         earl.expect(answer.httpStatus).toEqual(200);
         earl.expect(answer.text).toEqual('answer to whole');
+        // Nobody knows whether it is whole, so it must not be said to be.
+        earl.expect(answer.headers['content-length']).toEqual(undefined);
+        earl.expect(answer.headers['transfer-encoding']).toEqual(undefined);
       } finally {
         await fleet.close();
       }
