--- a/src/codecs/index.ts
+++ b/src/codecs/index.ts
@@ -2,6 +2,7 @@
 export * from './configuration/index.js';
 export * from './entry/index.js';
 export * from './http/index.js';
+export * from './logs/index.js';
 export * from './members/index.js';
 export * from './operators/index.js';
 export * from './peers/index.js';
--- /dev/null
+++ b/src/codecs/logs/index.ts
@@ -0,0 +1,1 @@
+export * from './parseLogLine.js';
--- a/src/programs/cli/commands/index.ts
+++ b/src/programs/cli/commands/index.ts
@@ -14,6 +14,7 @@
 import * as routeSet from './route/RouteSet.js';
 import * as status from './Status.js';
 import * as steer from './Steer.js';
+import * as trace from './Trace.js';
 import * as upstreamDrain from './upstream/UpstreamDrain.js';
 import * as upstreamSet from './upstream/UpstreamSet.js';
 import * as vmList from './vm/VmList.js';
@@ -36,6 +37,7 @@
   'route:set': routeSet.RouteSet,
   status: status.Status,
   steer: steer.Steer,
+  trace: trace.Trace,
   'upstream:drain': upstreamDrain.UpstreamDrain,
   'upstream:set': upstreamSet.UpstreamSet,
   'vm:list': vmList.VmList,
--- a/src/services/logs/LogTask.ts
+++ b/src/services/logs/LogTask.ts
@@ -2,6 +2,9 @@
 import * as pino from 'pino';
 import * as pinoLogfmt from 'pino-logfmt';
 import * as kernel from '../../kernel/index.js';
+import * as errors from '../../model/errors/index.js';
+import type * as events from './EventName.js';
+import * as budgets from './LineBudget.js';
 import type * as messages from './LogMessage.js';
 
 /** Builds the stream that turns log lines into key=value pairs. */
@@ -14,6 +17,7 @@
   private readonly level: messages.LogMessage['level'];
   private readonly vmId: string;
   private readonly fileDescriptor: number;
+  private readonly budget = new budgets.LineBudget();
   private logger: pino.Logger | undefined;
   private output: stream.Transform | undefined;
 
@@ -57,6 +61,25 @@
   protected override receive(message: messages.LogMessage): void {
     const {level, name, fields} = message;
     if (!this.logger?.isLevelEnabled(level)) return;
+    const decision = this.budget.decide(
+      name,
+      this.getContext().clock.monotonicMs(),
+    );
+    switch (decision.kind) {
+      case 'leaveOut':
+        return;
+      case 'writeAfterGap':
+        this.logger.warn({
+          event: 'linesLeftOut' satisfies events.EventName,
+          of: name,
+          lines: decision.leftOutCount,
+        });
+        break;
+      case 'write':
+        break;
+      default:
+        errors.throwUnreachable(decision);
+    }
     const values = typeof fields === 'function' ? fields() : fields;
     this.logger[level]({event: name, ...values});
   }
