--- a/src/programs/cli/commands/Trace.ts
+++ b/src/programs/cli/commands/Trace.ts
@@ -1,5 +1,6 @@
 import * as oclif from '@oclif/core';
 import * as codecs from '../../../codecs/index.js';
+import * as errors from '../../../model/errors/index.js';
 import * as reader from '../readText.js';
 
 /** One line of a request's story. */
@@ -62,7 +63,7 @@
     );
     const story = getStory(lines, args.request);
     if (story.length === 0)
-      this.error(`no line names request ${args.request}`, {exit: 1});
+      errors.throwError('notFound', `no line names request ${args.request}`);
     for (const line of story)
       this.log(`${line.time} ${line.vm} ${line.event} ${line.details}`);
     return story;
