--- a/src/codecs/members/knowledgeSchemas.ts
+++ b/src/codecs/members/knowledgeSchemas.ts
@@ -79,7 +79,7 @@
         failureDomain: zod.string(),
         slotCount: zod.number(),
         state: zod.enum(['ready', 'draining']),
-        coldRemainingMs: zod.number(),
+        coldForMs: zod.number(),
         startedAtMs: zod.number(),
       }),
     ),
--- a/src/model/entry/UpstreamRecord.ts
+++ b/src/model/entry/UpstreamRecord.ts
@@ -13,7 +13,7 @@
   readonly state: UpstreamState;
 
   /** How long in milliseconds it stays cold from when the entry was written. */
-  readonly coldRemainingMs: number;
+  readonly coldForMs: number;
 
   /** Wall-clock time in milliseconds of its start; 0 when it did not say. */
   readonly startedAtMs: number;
--- a/src/services/dispatch/DispatchTask.ts
+++ b/src/services/dispatch/DispatchTask.ts
@@ -24,21 +24,12 @@
 const RETRY_MS = 250;
 const RETRY_SPREAD_MS = 350;
 
-/** The average answer time in milliseconds that is assumed before any was measured. */
-const FIRST_WORK_MS = 250;
-
-/** The weight of the newest answer time in the average. */
-const WORK_WEIGHT = 0.05;
-
 const RANDOM_RANGE = 2 ** 30;
 
 /** What is known of one service. */
 interface ServiceState {
   readonly service: entry.EntryService;
   readonly retryBudget: decisions.ServiceRetryBudget;
-
-  /** The average time in milliseconds in which an upstream with a free slot answers. */
-  readonly workMs: number;
 }
 
 /** What the dispatch service is told when it is made. */
@@ -115,7 +106,6 @@
         const known = this.services.get(service.serviceId);
         this.services.set(service.serviceId, {
           retryBudget: decisions.startRetryBudget(this.getRetryBounds(), nowMs),
-          workMs: FIRST_WORK_MS,
           ...known,
           service,
         });
@@ -135,8 +125,8 @@
     for (const event of events) this.noteEvent(event);
     const sinceReadMs = this.nowMs() - readAtMs;
     for (const record of upstreams)
-      if (record.coldRemainingMs > sinceReadMs)
-        this.setCold(record, record.coldRemainingMs - sinceReadMs);
+      if (record.coldForMs > sinceReadMs)
+        this.setCold(record, record.coldForMs - sinceReadMs);
     this.hasUpstreams = true;
   }
 
@@ -280,7 +270,6 @@
     const {request, route, organisation, abandoned} = dispatch;
     const {state} = upstream;
     const startedAtMs = this.nowMs();
-    const wasFree = state.getBusyCount(startedAtMs) < state.record.slotCount;
     const sendId = state.addSend(startedAtMs);
     this.balance.addInFlight(state.record.serviceId, 1, startedAtMs);
     const result = await upstream.connections.send({
@@ -299,8 +288,6 @@
     this.balance.addInFlight(state.record.serviceId, -1, endedAtMs);
     this.observe('upstream_ms', endedAtMs - startedAtMs);
     if (result.kind === 'answered') state.addObject(getObjectName(dispatch));
-    if (result.kind === 'answered' && wasFree)
-      this.addWork(state.record.serviceId, endedAtMs - startedAtMs);
     this.noteResult(upstream, result, endedAtMs);
     state.endSend(sendId);
     return result;
@@ -417,13 +404,6 @@
     return true;
   }
 
-  private addWork(serviceId: string, tookMs: number): void {
-    const state = this.services.get(serviceId);
-    if (state === undefined) return;
-    const workMs = state.workMs + (tookMs - state.workMs) * WORK_WEIGHT;
-    this.services.set(serviceId, {...state, workMs});
-  }
-
   private getRetryBounds(): decisions.RetryBounds {
     const {retryRatio, retrySlack, retryWindowMs} = this.options.bounds;
     return {
--- a/src/services/dispatch/UpstreamState.ts
+++ b/src/services/dispatch/UpstreamState.ts
@@ -113,15 +113,14 @@
     this.setReport(load?.busyCount ?? assumed, nowMs);
   }
 
-  /** Notes that it could not be reached or broke off; gives the pause that follows, in milliseconds. */
-  addFailure(nowMs: number): number {
+  /** Notes that it could not be reached or did not answer in time. */
+  addFailure(nowMs: number): void {
     this.failureCount += 1;
     const pauseMs = Math.min(
       MAX_AVOID_MS,
       FIRST_AVOID_MS * 2 ** (this.failureCount - 1),
     );
     this.avoidUntilMs = nowMs + pauseMs;
-    return pauseMs;
   }
 
   /** Notes an answer that was spoilt or belonged to another request. */
--- a/src/services/entry/EntryFlow.ts
+++ b/src/services/entry/EntryFlow.ts
@@ -77,11 +77,6 @@
   }
 }
 
-/** Gets the rank of a request under overload; an organisation's goes before its route's. */
-export function getPriority(granted: GrantedEntry): number {
-  return granted.organisation?.priority ?? granted.route.priority;
-}
-
 function getDeadlineMs(
   request: entry.EntryRequest,
   route: entry.EntryRoute,
--- a/src/services/knowledge/KnowledgeTask.ts
+++ b/src/services/knowledge/KnowledgeTask.ts
@@ -285,7 +285,7 @@
 
   private publishUpstreams(): void {
     if (this.upstreamTableVersion === 0) return;
-    const upstreams = [...this.upstreams.values()].map(known => known.record);
+    const upstreams = [...this.upstreams.values()];
     const message: messages.UpstreamRowsChanged = {
       kind: 'upstreamRowsChanged',
       tableVersion: this.upstreamTableVersion,
@@ -299,7 +299,7 @@
     if (this.upstreamTableVersion === 0) return undefined;
     return {
       tableVersion: this.upstreamTableVersion,
-      upstreams: [...this.upstreams.values()].map(known => known.record),
+      upstreams: [...this.upstreams.values()],
     };
   }
 
--- a/standins/emulator/Emulation.ts
+++ b/standins/emulator/Emulation.ts
@@ -333,7 +333,7 @@
       failureDomain: `${region}-${index % 2 === 0 ? 'a' : 'b'}`,
       slotCount: scenario.traits.slotCount,
       state: 'ready' as const,
-      coldRemainingMs: 0,
+      coldForMs: 0,
       startedAtMs: 1,
     })),
   );
--- a/test/decisions/discovery/discovery.test.ts
+++ b/test/decisions/discovery/discovery.test.ts
@@ -13,7 +13,7 @@
     failureDomain: 'amman-a',
     slotCount: 3,
     state: 'ready',
-    coldRemainingMs: 0,
+    coldForMs: 0,
     startedAtMs: 1,
   };
 }
--- a/test/platform/rows.test.ts
+++ b/test/platform/rows.test.ts
@@ -75,7 +75,7 @@
       failureDomain: 'amman-jabal',
       slotCount: 9,
       state: 'ready',
-      coldRemainingMs: 1500,
+      coldForMs: 1500,
       startedAtMs: 1700000000000,
     });
   });
--- a/test/services/dispatch/UpstreamRegister.test.ts
+++ b/test/services/dispatch/UpstreamRegister.test.ts
@@ -19,7 +19,7 @@
     failureDomain: 'amman-a',
     slotCount: 3,
     state: 'ready',
-    coldRemainingMs: 0,
+    coldForMs: 0,
     startedAtMs: 1,
     ...change,
   };
