--- a/src/services/dispatch/DispatchTask.ts
+++ b/src/services/dispatch/DispatchTask.ts
@@ -7,6 +7,7 @@
 import * as knowledgeService from '../knowledge/KnowledgeMessage.js';
 import * as membersService from '../members/MembersMessage.js';
 import type * as messages from './DispatchMessage.js';
+import * as steps from './decideStep.js';
 import * as balances from './RegionBalance.js';
 import * as registers from './UpstreamRegister.js';
 import type * as connections from './UpstreamConnections.js';
@@ -193,14 +194,14 @@
     );
     this.earnRetries(serviceId);
     const tried: string[] = [];
-    let failure: Failure | undefined;
+    let failure: steps.Failure | undefined;
     while (tried.length < Math.max(1, route.maxUpstreams)) {
       const remainingMs = dispatch.deadlineMs - RETURN_MS - this.nowMs();
       if (remainingMs < MIN_SEND_MS) break;
       if (tried.length > 0 && !this.takeRepeat(serviceId)) break;
       const placement = this.place(dispatch, serviceId, tried);
       if (placement.kind !== 'chosen') {
-        failure = getWorse(failure, getPlacementFailure(placement));
+        failure = steps.getWorse(failure, steps.getPlacementFailure(placement));
         break;
       }
       tried.push(placement.upstreamId);
@@ -209,13 +210,17 @@
         placement.upstreamId,
         remainingMs,
       );
-      const step = this.decideStep(dispatch, placement.upstreamId, result);
+      const step = steps.decideStep(
+        route.execution,
+        placement.upstreamId,
+        result,
+      );
       if (step.kind === 'answered') return step;
-      failure = getWorse(failure, step.failure);
+      failure = steps.getWorse(failure, step.failure);
       if (step.kind === 'finish') break;
       this.logRetry(dispatch, placement.upstreamId, result.kind);
     }
-    return this.getOutcome(failure ?? TOO_LATE);
+    return this.getOutcome(failure ?? steps.TOO_LATE);
   }
 
   private place(
@@ -330,49 +335,7 @@
     }
   }
 
-  /** Decides whether another upstream may be tried. */
-  private decideStep(
-    dispatch: messages.EntryDispatch,
-    upstreamId: string,
-    result: connections.SendResult,
-  ): Step {
-    const mayRepeat = dispatch.route.execution === 'idempotent';
-    switch (result.kind) {
-      case 'answered':
-        return {kind: 'answered', answer: result.answer};
-      case 'shed':
-        return retry('notRun', 'upstreamShed', `${upstreamId} was full`);
-      case 'misdirected':
-        return retry('notRun', 'noUpstream', `${upstreamId} has left`);
-      case 'notSent':
-        return retry(
-          'notRun',
-          'noUpstream',
-          `${upstreamId} could not be reached: ${result.reason}`,
-        );
-      case 'broken':
-        return getUnknownStep(
-          mayRepeat,
-          `${upstreamId} broke off: ${result.reason}`,
-        );
-      case 'garbled':
-        return getUnknownStep(
-          mayRepeat,
-          `${upstreamId} sent what is no answer to the request`,
-        );
-      case 'timedOut':
-        return finish(
-          'deadlineExceeded',
-          `${upstreamId} did not answer in time`,
-        );
-      case 'abandoned':
-        return finish('upstreamFailed', 'the caller left');
-      default:
-        return errors.throwUnreachable(result);
-    }
-  }
-
-  private getOutcome(failure: Failure): messages.DispatchOutcome {
+  private getOutcome(failure: steps.Failure): messages.DispatchOutcome {
     switch (failure.kind) {
       case 'notRun': {
         const waitMs = RETRY_MS + RETRY_SPREAD_MS * this.getRandom();
@@ -456,77 +419,9 @@
   }
 }
 
-/** Why a request has no answer. */
-type Failure =
-  | {
-      readonly kind: 'notRun';
-      readonly error: errors.ErrorKind;
-      readonly message: string;
-    }
-  | {
-      readonly kind: 'mayHaveRun';
-      readonly error: errors.ErrorKind;
-      readonly message: string;
-    };
-
-/** What follows a try. */
-type Step =
-  | {readonly kind: 'answered'; readonly answer: entry.EntryAnswer}
-  | {readonly kind: 'retry'; readonly failure: Failure}
-  | {readonly kind: 'finish'; readonly failure: Failure};
-
-const TOO_LATE: Failure = {
-  kind: 'notRun',
-  error: 'upstreamShed',
-  message: 'no time is left to run the request',
-};
-
-function retry(
-  kind: Failure['kind'],
-  error: errors.ErrorKind,
-  message: string,
-): Step {
-  return {kind: 'retry', failure: {kind, error, message}};
-}
-
-function finish(error: errors.ErrorKind, message: string): Step {
-  return {kind: 'finish', failure: {kind: 'mayHaveRun', error, message}};
-}
-
-/** A request that may have run is repeated only when it may run twice. */
-function getUnknownStep(mayRepeat: boolean, message: string): Step {
-  return mayRepeat
-    ? retry('mayHaveRun', 'upstreamFailed', message)
-    : finish('upstreamFailed', message);
-}
-
-/** A failure after which the request may have run outweighs one after which it has not. */
-function getWorse(known: Failure | undefined, next: Failure): Failure {
-  return known?.kind === 'mayHaveRun' ? known : next;
-}
-
 /** Names an object among all routes; requests without one get an empty string. */
 function getObjectName({request, route}: messages.EntryDispatch): string {
   return request.objectKey === ''
     ? ''
     : `${route.pathPrefix}${request.objectKey}`;
 }
-
-function getPlacementFailure(
-  placement: Exclude<decisions.Placement, {kind: 'chosen'}>,
-): Failure {
-  switch (placement.kind) {
-    case 'none':
-      return {
-        kind: 'notRun',
-        error: 'noUpstream',
-        message: 'no upstream takes the request',
-      };
-    case 'full':
-      return {
-        kind: 'notRun',
-        error: 'upstreamShed',
-        message: 'the upstreams cannot answer in time',
-      };
-  }
-}
