Log when callers leave, what is worked on for them, and late knowledge

Nothing said when a caller left, how long its work went on, from where a version of the configuration came and how old the knowledge was that it replaced, or how far the process was behind.

What may run and what is sent is unchanged.

--- a/src/services/entry/EntryTask.ts
+++ b/src/services/entry/EntryTask.ts
@@ -9,6 +9,7 @@
 import * as httpService from '../http/index.js';
 import * as knowledgeService from '../knowledge/KnowledgeMessage.js';
 import * as membersService from '../members/MembersMessage.js';
+import * as connections from './CallerConnection.js';
 import type * as messages from './EntryMessage.js';
 import * as flows from './EntryFlow.js';
 
@@ -35,7 +36,10 @@
 export class EntryTask extends base.ServiceTask<messages.EntryMessage> {
   private readonly options: EntryOptions;
   private readonly listener: httpService.HttpListener;
-  private readonly waiting = new WeakMap<net.Socket, number>();
+  private readonly connections = new WeakMap<
+    net.Socket,
+    connections.CallerConnection
+  >();
   private index: decisions.EntryIndex | undefined;
   private configuration: entry.EntryConfiguration | undefined;
   private view: membersService.MembersChanged | undefined;
@@ -151,8 +155,7 @@
     response: http.ServerResponse,
   ): Promise<void> {
     const arrivedAtMs = this.nowMs();
-    const {socket} = incoming;
-    this.waiting.set(socket, (this.waiting.get(socket) ?? 0) + 1);
+    this.getConnection(incoming.socket).addRequest();
     const caller = new AbortController();
     response.once('close', () => {
       if (!response.writableFinished) caller.abort();
@@ -185,6 +188,35 @@
       });
     }
     this.observe('request_ms', this.nowMs() - arrivedAtMs);
+    this.noteDeparture(incoming.socket, envelope.requestId);
+  }
+
+  private getConnection(socket: net.Socket): connections.CallerConnection {
+    const known = this.connections.get(socket);
+    if (known !== undefined) return known;
+    const connection = new connections.CallerConnection(
+      socket,
+      () => this.nowMs(),
+      unanswered => {
+        this.count('callers_left');
+        this.log('info', 'callerLeft', {unanswered});
+      },
+    );
+    this.connections.set(socket, connection);
+    return connection;
+  }
+
+  /** Notes for how long a request was worked on after its caller had left. */
+  private noteDeparture(socket: net.Socket, requestId: string): void {
+    const leftAtMs = this.getConnection(socket).leftAtMs;
+    if (leftAtMs === undefined) return;
+    const sinceLeftMs = this.nowMs() - leftAtMs;
+    this.count('answers_undelivered');
+    this.observe('after_departure_ms', sinceLeftMs);
+    this.log('info', 'answerUndelivered', {
+      request: requestId,
+      sinceLeftMs: Math.round(sinceLeftMs),
+    });
   }
 
   private async run(
@@ -296,12 +328,13 @@
     headers: readonly string[],
     body: Uint8Array,
   ): void {
-    const waiting = this.getBehindCount(response);
-    this.waiting.set(response.req.socket, waiting);
+    const behindCount = this.getBehindCount(response);
+    this.getConnection(response.req.socket).endRequest();
     if (response.destroyed || response.headersSent) return;
     const written = [...headers, 'content-length', String(body.length)];
     // A close would drop the requests that came behind this one, so the last of them brings it.
-    if (this.isLeaving && waiting === 0) written.push('connection', 'close');
+    if (this.isLeaving && behindCount === 0)
+      written.push('connection', 'close');
     else response.removeHeader('connection');
     response.writeHead(httpStatus, written);
     response.end(body);
@@ -311,7 +344,7 @@
     response: http.ServerResponse,
     {httpStatus, headers, body}: entry.EntryAnswer,
   ): void {
-    this.waiting.set(response.req.socket, 0);
+    this.getConnection(response.req.socket).endRequest();
     if (response.destroyed || response.headersSent) return;
     response.removeHeader('transfer-encoding');
     response.writeHead(httpStatus, [...headers, 'connection', 'close']);
@@ -320,7 +353,7 @@
 
   /** Gets how many other requests of the same connection are unanswered. */
   private getBehindCount(response: http.ServerResponse): number {
-    return (this.waiting.get(response.req.socket) ?? 1) - 1;
+    return this.getConnection(response.req.socket).unansweredCount - 1;
   }
 
   private wait(delayMs: number): Promise<void> {
--- a/src/services/knowledge/KnowledgeTask.ts
+++ b/src/services/knowledge/KnowledgeTask.ts
@@ -185,7 +185,9 @@
     sentAtMs: number,
   ): void {
     const known = this.operatorRows;
+    const gapMs = this.getReadingAgeMs();
     this.reach = decisions.noteStoreAnswered(this.reach, this.nowMs());
+    this.observe('knowledge_gap_ms', gapMs);
     this.operatorReadAtMs = sentAtMs;
     this.certainUntilMs = this.nowMs() + CERTAIN_MS;
     if (known !== undefined && reading.tableVersion < known.tableVersion)
@@ -203,10 +205,23 @@
         changes,
         reading.kind === 'snapshot',
       ),
+      reading.kind,
+      gapMs,
     );
   }
 
-  private setOperatorRows(rows: entry.OperatorRows | undefined): void {
+  /** Gets how long ago in milliseconds the last reading of the operators' rows was sent; 0 before the first. */
+  private getReadingAgeMs(): number {
+    if (this.operatorReadAtMs === -Infinity) return 0;
+    return this.nowMs() - this.operatorReadAtMs;
+  }
+
+  /** Puts rows in force that came from `source`, `gapMs` milliseconds after the reading before. */
+  private setOperatorRows(
+    rows: entry.OperatorRows | undefined,
+    source: 'snapshot' | 'changes' | 'peer',
+    gapMs: number,
+  ): void {
     const known = this.operatorRows;
     this.operatorRows = rows;
     if (rows === undefined) return;
@@ -218,6 +233,8 @@
         version: rows.configuration.version,
         tableVersion: rows.tableVersion,
         evacuated: rows.evacuatedDomains.join(),
+        source,
+        gapMs: Math.round(gapMs),
       });
     this.publishOperatorRows();
   }
@@ -362,7 +379,7 @@
     const {operatorRows, upstreamRows} = message;
     const knownVersion = this.operatorRows?.tableVersion ?? 0;
     if (operatorRows !== undefined && operatorRows.tableVersion > knownVersion)
-      this.setOperatorRows(operatorRows);
+      this.setOperatorRows(operatorRows, 'peer', this.getReadingAgeMs());
     if (upstreamRows !== undefined) {
       const {upstreams, tableVersion} = upstreamRows;
       if (tableVersion > this.upstreamTableVersion)
--- /dev/null
+++ b/src/services/load/index.ts
@@ -0,0 +1,2 @@
+export * from './LoadMessage.js';
+export * from './LoadTask.js';
--- a/src/services/logs/EventName.ts
+++ b/src/services/logs/EventName.ts
@@ -35,5 +35,8 @@
   | 'requestServed'
   | 'requestPlaced'
   | 'requestRetried'
+  | 'callerLeft'
+  | 'answerUndelivered'
+  | 'loopDelayed'
   | 'limitReached'
   | 'linesLeftOut';
--- a/src/services/metrics/MetricsMessage.ts
+++ b/src/services/metrics/MetricsMessage.ts
@@ -20,12 +20,24 @@
   | 'datagrams_failed'
   | 'connections_opened'
   | 'answers_discarded'
+  | 'answers_undelivered'
+  | 'callers_left'
   | 'placements_first'
   | 'placements_other';
 
 /** Every histogram of a daemon; values are milliseconds. */
 export type HistogramName =
-  'request_ms' | 'upstream_ms' | 'admission_ms' | 'claim_ms' | 'platform_ms';
+  | 'request_ms'
+  | 'upstream_ms'
+  | 'admission_ms'
+  | 'claim_ms'
+  | 'platform_ms'
+  /** How long work went on for a caller that had left. */
+  | 'after_departure_ms'
+  /** How late timers fire. */
+  | 'loop_delay_ms'
+  /** The age of the last reading of the operators' rows when the next one comes. */
+  | 'knowledge_gap_ms';
 
 /** What the metrics service takes. */
 export type MetricsMessage =
