End the work on all requests of a caller's connection when it closes

What callers and upstreams saw: a caller that pipelined three requests and left had the first one's work ended at once, while upstreams went on with the others for all of their 2500 ms (GONE).

Cause: EntryTask listened to the close of each response. Node.js hands the socket, and with it the close, only to the first unanswered response of a connection; those behind it never hear that the caller left.

--- a/src/services/entry/CallerConnection.ts
+++ b/src/services/entry/CallerConnection.ts
@@ -1,10 +1,10 @@
 import type * as net from 'node:net';
 
-/** What is known of one caller's connection. */
+/** One caller's connection: it ends the work on all its unanswered requests when the caller leaves. */
 export class CallerConnection {
   private readonly getNowMs: () => number;
   private readonly onLeft: (unansweredCount: number) => void;
-  private unanswered = 0;
+  private readonly unanswered = new Set<AbortController>();
   private leftAt: number | undefined;
 
   /**
@@ -19,13 +19,14 @@
     this.getNowMs = getNowMs;
     this.onLeft = onLeft;
     const leave = () => this.leave();
+    // The connection tells for all its requests: a response behind another one has no socket, and no close.
     socket.once('end', leave);
     socket.once('close', leave);
   }
 
   /** How many requests of the connection are unanswered. */
   get unansweredCount(): number {
-    return this.unanswered;
+    return this.unanswered.size;
   }
 
   /** Monotonic time in milliseconds at which the caller was seen to leave, or nothing while it is there. */
@@ -33,19 +34,25 @@
     return this.leftAt;
   }
 
-  /** Notes a request that came in. */
-  addRequest(): void {
-    this.unanswered += 1;
+  /** Notes a request that came in; what it gives is aborted when the caller leaves. */
+  addRequest(): AbortController {
+    const controller = new AbortController();
+    if (this.leftAt === undefined) this.unanswered.add(controller);
+    else controller.abort();
+    return controller;
   }
 
   /** Notes that a request is answered. */
-  endRequest(): void {
-    this.unanswered -= 1;
+  endRequest(controller: AbortController): void {
+    this.unanswered.delete(controller);
   }
 
   private leave(): void {
     if (this.leftAt !== undefined) return;
     this.leftAt = this.getNowMs();
-    if (this.unanswered > 0) this.onLeft(this.unanswered);
+    if (this.unanswered.size === 0) return;
+    this.onLeft(this.unanswered.size);
+    for (const controller of this.unanswered) controller.abort();
+    this.unanswered.clear();
   }
 }
--- a/src/services/entry/EntryTask.ts
+++ b/src/services/entry/EntryTask.ts
@@ -10,6 +10,7 @@
 import * as knowledgeService from '../knowledge/KnowledgeMessage.js';
 import * as membersService from '../members/MembersMessage.js';
 import * as connections from './CallerConnection.js';
+import * as exchanges from './CallerExchange.js';
 import type * as messages from './EntryMessage.js';
 import * as flows from './EntryFlow.js';
 
@@ -155,11 +156,8 @@
     response: http.ServerResponse,
   ): Promise<void> {
     const arrivedAtMs = this.nowMs();
-    this.getConnection(incoming.socket).addRequest();
-    const caller = new AbortController();
-    response.once('close', () => {
-      if (!response.writableFinished) caller.abort();
-    });
+    const connection = this.getConnection(incoming.socket);
+    const exchange = new exchanges.CallerExchange(connection, response);
     const envelope = this.options.codec.decodeRequest(incoming.rawHeaders);
     try {
       const maxBytes = this.configuration?.callerLimits.maxBodyBytes;
@@ -177,10 +175,14 @@
         callerDeadlineMs:
           arrivedAtMs + (envelope.remainingMs ?? DEFAULT_WAIT_MS),
       };
-      this.write(response, request, await this.run(request, caller.signal));
+      this.write(
+        exchange,
+        request,
+        await this.run(request, exchange.abandoned),
+      );
     } catch (thrown) {
       const error = errors.toError(thrown);
-      this.fail(response, envelope.requestId, {
+      this.fail(exchange, envelope.requestId, {
         kind: 'failed',
         error: error.kind,
         message: error.message,
@@ -188,7 +190,7 @@
       });
     }
     this.observe('request_ms', this.nowMs() - arrivedAtMs);
-    this.noteDeparture(incoming.socket, envelope.requestId);
+    this.noteDeparture(exchange, envelope.requestId);
   }
 
   private getConnection(socket: net.Socket): connections.CallerConnection {
@@ -207,8 +209,10 @@
   }
 
   /** Notes for how long a request was worked on after its caller had left. */
-  private noteDeparture(socket: net.Socket, requestId: string): void {
-    const leftAtMs = this.getConnection(socket).leftAtMs;
+  private noteDeparture(
+    {leftAtMs}: exchanges.CallerExchange,
+    requestId: string,
+  ): void {
     if (leftAtMs === undefined) return;
     const sinceLeftMs = this.nowMs() - leftAtMs;
     this.count('answers_undelivered');
@@ -243,7 +247,7 @@
   }
 
   private write(
-    response: http.ServerResponse,
+    exchange: exchanges.CallerExchange,
     request: entry.EntryRequest,
     result: flows.EntryResult,
   ): void {
@@ -257,11 +261,11 @@
           status: answer.httpStatus,
           tookMs: Math.round(this.nowMs() - request.arrivedAtMs),
         }));
-        this.writeAnswer(response, request.requestId, answer);
+        this.writeAnswer(exchange, request.requestId, answer);
         return;
       }
       case 'failed':
-        this.fail(response, request.requestId, result);
+        this.fail(exchange, request.requestId, result);
         return;
       default:
         errors.throwUnreachable(result);
@@ -270,25 +274,25 @@
 
   /** Writes an answer; one whose end its upstream's connection marked is not given a length either. */
   private writeAnswer(
-    response: http.ServerResponse,
+    exchange: exchanges.CallerExchange,
     requestId: string,
     answer: entry.EntryAnswer,
   ): void {
     const {httpStatus, headers, body} = answer;
     switch (answer.framing) {
       case 'length':
-        this.send(response, httpStatus, headers, body);
+        exchange.send(httpStatus, headers, body, this.isLeaving);
         return;
       case 'connection':
-        if (this.getBehindCount(response) > 0)
+        if (exchange.otherCount > 0)
           // Its end would close the connection to requests that have run, or are running, behind it.
-          this.fail(response, requestId, {
+          this.fail(exchange, requestId, {
             kind: 'failed',
             error: 'upstreamFailed',
             message: `${answer.upstreamId} gave an answer without a length`,
             retryAtMs: undefined,
           });
-        else this.sendUnframed(response, answer);
+        else exchange.sendUnframed(answer);
         return;
       default:
         errors.throwUnreachable(answer.framing);
@@ -296,7 +300,7 @@
   }
 
   private fail(
-    response: http.ServerResponse,
+    exchange: exchanges.CallerExchange,
     requestId: string,
     failure: Extract<flows.EntryResult, {kind: 'failed'}>,
   ): void {
@@ -319,41 +323,7 @@
       isNotRun && waitMs !== undefined
         ? ['retry-after', (waitMs / 1000).toFixed(3)]
         : [];
-    this.send(response, httpStatus, headers, EMPTY_BODY);
-  }
-
-  private send(
-    response: http.ServerResponse,
-    httpStatus: number,
-    headers: readonly string[],
-    body: Uint8Array,
-  ): void {
-    const behindCount = this.getBehindCount(response);
-    this.getConnection(response.req.socket).endRequest();
-    if (response.destroyed || response.headersSent) return;
-    const written = [...headers, 'content-length', String(body.length)];
-    // A close would drop the requests that came behind this one, so the last of them brings it.
-    if (this.isLeaving && behindCount === 0)
-      written.push('connection', 'close');
-    else response.removeHeader('connection');
-    response.writeHead(httpStatus, written);
-    response.end(body);
-  }
-
-  private sendUnframed(
-    response: http.ServerResponse,
-    {httpStatus, headers, body}: entry.EntryAnswer,
-  ): void {
-    this.getConnection(response.req.socket).endRequest();
-    if (response.destroyed || response.headersSent) return;
-    response.removeHeader('transfer-encoding');
-    response.writeHead(httpStatus, [...headers, 'connection', 'close']);
-    response.end(body);
-  }
-
-  /** Gets how many other requests of the same connection are unanswered. */
-  private getBehindCount(response: http.ServerResponse): number {
-    return this.getConnection(response.req.socket).unansweredCount - 1;
+    exchange.send(httpStatus, headers, EMPTY_BODY, this.isLeaving);
   }
 
   private wait(delayMs: number): Promise<void> {
--- a/test/platform/departures.test.ts
+++ b/test/platform/departures.test.ts
@@ -29,7 +29,6 @@
   for (const {name, depart} of DEPARTURES)
     void test.it(
       `ends the work on all pipelined requests of a ${name} connection`,
-      {todo: 'KNOWN-RED, issue 14'},
       async () => {
         const fleet = new fleets.EntryFleet();
         try {
