Never take an older configuration from a peer

What could happen: a VM that is cut off from the store takes a peer's rows if their table version is higher. The table version also moved with waits that brought nothing, so that a peer that had missed a change could hand an older configuration to a VM that had it (CONFIG: 'came back older').

Evidence: discovery, 'keeps a configuration that a peer has in an older version under a newer table'.

--- a/src/decisions/discovery/index.ts
+++ b/src/decisions/discovery/index.ts
@@ -1,3 +1,4 @@
 export * from './mergeUpstreams.js';
 export * from './applyOperatorChanges.js';
+export * from './chooseNewerRows.js';
 export * from './StoreReach.js';
--- a/src/services/knowledge/KnowledgeTask.ts
+++ b/src/services/knowledge/KnowledgeTask.ts
@@ -405,9 +405,12 @@
   ): void {
     this.isAskingPeer = false;
     const {operatorRows, upstreamRows} = message;
-    const knownVersion = this.operatorRows?.tableVersion ?? 0;
-    if (operatorRows !== undefined && operatorRows.tableVersion > knownVersion)
-      this.setOperatorRows(operatorRows, 'peer', this.getKnowledgeAgeMs());
+    if (operatorRows !== undefined)
+      this.setOperatorRows(
+        decisions.chooseNewerRows(this.operatorRows, operatorRows),
+        'peer',
+        this.getKnowledgeAgeMs(),
+      );
     if (upstreamRows !== undefined) {
       const {upstreams, tableVersion} = upstreamRows;
       if (tableVersion > this.upstreamTableVersion)
--- a/test/decisions/discovery/discovery.test.ts
+++ b/test/decisions/discovery/discovery.test.ts
@@ -170,3 +170,29 @@
     earl.expect(none).toEqual(undefined);
   });
 });
+
+void test.describe('chooseNewerRows', () => {
+  const getRows = (tableVersion: number, version: number) => ({
+    tableVersion,
+    configuration: getConfiguration(version),
+    evacuatedDomains: [],
+  });
+
+  void test.it(
+    'keeps a configuration that a peer has in an older version under a newer table',
+    () => {
+      const known = getRows(99, 5);
+      earl
+        .expect(decisions.chooseNewerRows(known, getRows(100, 4)))
+        .toEqual(known);
+    },
+  );
+
+  void test.it('takes what is newer in both', () => {
+    const offered = getRows(100, 6);
+    earl
+      .expect(decisions.chooseNewerRows(getRows(99, 5), offered))
+      .toEqual(offered);
+    earl.expect(decisions.chooseNewerRows(undefined, offered)).toEqual(offered);
+  });
+});
