End pipelined work of callers that left in the daemon, too

The same cause as in the entry program, looked for elsewhere: CallersTask listened to the close of the response, and UpstreamClient added its listener to a signal that may have fired. Both programs now use CallerConnections of services/http.

--- a/src/services/callers/CallersTask.ts
+++ b/src/services/callers/CallersTask.ts
@@ -28,6 +28,13 @@
   private readonly listener: httpService.HttpListener;
   private readonly resolver = new resolvers.SteeringResolver();
   private readonly refusals = new refusals.RefusalLog();
+  private readonly connections = new httpService.CallerConnections(
+    () => this.nowMs(),
+    unanswered => {
+      this.count('callers_left');
+      this.log('info', 'callerLeft', {unanswered});
+    },
+  );
   private readonly keys = new Map<string, configurations.Key>();
   private configuration: configurations.Configuration =
     configurations.EMPTY_CONFIGURATION;
@@ -199,10 +206,8 @@
   ): Promise<void> {
     const startedAtMs = this.nowMs();
     const requestId = crypto.randomUUID();
-    const caller = new AbortController();
-    response.once('close', () => {
-      if (!response.writableFinished) caller.abort();
-    });
+    const connection = this.connections.get(incoming.socket);
+    const caller = connection.addRequest();
     try {
       const request = await readRequest(incoming, requestId);
       const result = await this.run(request, caller.signal);
@@ -210,8 +215,8 @@
     } catch (thrown) {
       this.fail(response, requestId, errors.toError(thrown));
     }
-    const valueMs = this.nowMs() - startedAtMs;
-    this.observe('request_ms', valueMs);
+    connection.endRequest(caller);
+    this.observe('request_ms', this.nowMs() - startedAtMs);
   }
 
   private async run(
--- a/src/services/entry/CallerExchange.ts
+++ b/src/services/entry/CallerExchange.ts
@@ -1,16 +1,16 @@
 import type * as http from 'node:http';
 import type * as entry from '../../model/entry/index.js';
-import type * as connections from './CallerConnection.js';
+import type * as httpService from '../http/index.js';
 
 /** One request of a caller, and the way back. */
 export class CallerExchange {
-  private readonly connection: connections.CallerConnection;
+  private readonly connection: httpService.CallerConnection;
   private readonly response: http.ServerResponse;
   private readonly controller: AbortController;
 
   /** @param response What the answer is written to. */
   constructor(
-    connection: connections.CallerConnection,
+    connection: httpService.CallerConnection,
     response: http.ServerResponse,
   ) {
     this.connection = connection;
--- a/src/services/entry/EntryTask.ts
+++ b/src/services/entry/EntryTask.ts
@@ -1,5 +1,4 @@
 import type * as http from 'node:http';
-import type * as net from 'node:net';
 import * as h3 from 'h3';
 import type * as codecs from '../../codecs/entry/index.js';
 import * as decisions from '../../decisions/index.js';
@@ -9,7 +8,6 @@
 import * as httpService from '../http/index.js';
 import * as knowledgeService from '../knowledge/KnowledgeMessage.js';
 import * as membersService from '../members/MembersMessage.js';
-import * as connections from './CallerConnection.js';
 import * as exchanges from './CallerExchange.js';
 import type * as messages from './EntryMessage.js';
 import * as flows from './EntryFlow.js';
@@ -37,10 +35,13 @@
 export class EntryTask extends base.ServiceTask<messages.EntryMessage> {
   private readonly options: EntryOptions;
   private readonly listener: httpService.HttpListener;
-  private readonly connections = new WeakMap<
-    net.Socket,
-    connections.CallerConnection
-  >();
+  private readonly connections = new httpService.CallerConnections(
+    () => this.nowMs(),
+    unanswered => {
+      this.count('callers_left');
+      this.log('info', 'callerLeft', {unanswered});
+    },
+  );
   private readonly barrier = new httpService.ReadBarrier();
   private index: decisions.EntryIndex | undefined;
   private configuration: entry.EntryConfiguration | undefined;
@@ -157,7 +158,7 @@
     response: http.ServerResponse,
   ): Promise<void> {
     const arrivedAtMs = this.nowMs();
-    const connection = this.getConnection(incoming.socket);
+    const connection = this.connections.get(incoming.socket);
     const exchange = new exchanges.CallerExchange(connection, response);
     const envelope = this.options.codec.decodeRequest(incoming.rawHeaders);
     const callerDeadlineMs =
@@ -218,21 +219,6 @@
     );
   }
 
-  private getConnection(socket: net.Socket): connections.CallerConnection {
-    const known = this.connections.get(socket);
-    if (known !== undefined) return known;
-    const connection = new connections.CallerConnection(
-      socket,
-      () => this.nowMs(),
-      unanswered => {
-        this.count('callers_left');
-        this.log('info', 'callerLeft', {unanswered});
-      },
-    );
-    this.connections.set(socket, connection);
-    return connection;
-  }
-
   /** Notes for how long a request was worked on after its caller had left. */
   private noteDeparture(
     {leftAtMs}: exchanges.CallerExchange,
--- /dev/null
+++ b/src/services/http/CallerConnections.ts
@@ -0,0 +1,37 @@
+import type * as net from 'node:net';
+import * as connections from './CallerConnection.js';
+
+/** The connections of a listener's callers. */
+export class CallerConnections {
+  private readonly getNowMs: () => number;
+  private readonly onLeft: (unansweredCount: number) => void;
+  private readonly bySocket = new WeakMap<
+    net.Socket,
+    connections.CallerConnection
+  >();
+
+  /**
+   * @param getNowMs Gets the monotonic time in milliseconds.
+   * @param onLeft Hears that a caller left, and how many of its requests were unanswered.
+   */
+  constructor(
+    getNowMs: () => number,
+    onLeft: (unansweredCount: number) => void,
+  ) {
+    this.getNowMs = getNowMs;
+    this.onLeft = onLeft;
+  }
+
+  /** Gets the connection of a socket. */
+  get(socket: net.Socket): connections.CallerConnection {
+    const known = this.bySocket.get(socket);
+    if (known !== undefined) return known;
+    const connection = new connections.CallerConnection(
+      socket,
+      this.getNowMs,
+      this.onLeft,
+    );
+    this.bySocket.set(socket, connection);
+    return connection;
+  }
+}
--- a/src/services/http/index.ts
+++ b/src/services/http/index.ts
@@ -1,3 +1,5 @@
+export * from './CallerConnection.js';
+export * from './CallerConnections.js';
 export * from './HttpListener.js';
 export * from './answerSizes.js';
 export * from './ReadBarrier.js';
--- a/src/services/upstreams/UpstreamClient.ts
+++ b/src/services/upstreams/UpstreamClient.ts
@@ -62,8 +62,10 @@
     });
   }
 
-  /** Sends a request once. */
+  /** Sends a request once, unless its caller has left. */
   send(sending: Sending): Promise<SendResult> {
+    // A signal that has fired tells no listener that comes later.
+    if (sending.abandoned.aborted) return Promise.resolve({kind: 'abandoned'});
     const {request} = sending;
     return new Promise(resolve => {
       const exchange = new Exchange(this.upstreamId, sending, resolve);
--- a/standins/deployment/Deployment.ts
+++ b/standins/deployment/Deployment.ts
@@ -306,7 +306,7 @@
       readonly timeoutMs?: number;
     } = {},
   ): Promise<CallerAnswer> {
-    const {callersAddress} = this.getVmOrThrow(vmId).addresses;
+    const callersAddress = this.getCallersAddress(vmId);
     const headers: Record<string, string> = {...options.headers};
     if (options.key !== undefined)
       headers['authorization'] = `Bearer ${options.key}`;
@@ -335,6 +335,11 @@
     }
   }
 
+  /** Gets a VM's callers' listener as host:port. */
+  getCallersAddress(vmId: string): string {
+    return this.getVmOrThrow(vmId).addresses.callersAddress;
+  }
+
   /** Lets VMs reach an upstream without the proxy before it. */
   async bypassUpstreamProxy(upstreamId: string): Promise<void> {
     const {address} = this.getUpstreamOrThrow(upstreamId);
--- a/test/deployment/Requests.test.ts
+++ b/test/deployment/Requests.test.ts
@@ -1,4 +1,6 @@
+import * as net from 'node:net';
 import * as test from 'node:test';
+import * as timers from 'node:timers/promises';
 import * as earl from 'earl';
 import type * as decisions from '../../src/decisions/index.js';
 import * as deployments from '../../standins/deployment/Deployment.js';
@@ -6,6 +8,9 @@
 import * as plans from './plans.js';
 
 const KEY = deploymentPlans.getKey('rustavi');
+/** How long upstreams may go on with the work of a caller that has left, in milliseconds. */
+const DEPARTURE_MS = 500;
+const POLL_MS = 20;
 const OTHER_KEY = deploymentPlans.getKey('telavi');
 
 const deployment = new deployments.Deployment(
@@ -72,6 +77,35 @@
     },
   );
 
+  void test.it(
+    'end with the connection that they were pipelined on',
+    async () => {
+      const targets = ['/look-up/first?ms=2500', '/look-up/second?ms=2500'];
+      const getRuns = async (run: deployments.Run['run']) => {
+        await deployment.syncRuns();
+        return deployment
+          .getRuns()
+          .filter(known => known.run === run && targets.includes(known.target));
+      };
+      const [host, port] = deployment.getCallersAddress('vm-0').split(':');
+      const socket = net.connect(Number(port), host);
+      for (const target of targets)
+        socket.write(
+          `GET ${target} HTTP/1.1\r\nhost: a\r\nauthorization: Bearer ${KEY}\r\n\r\n`,
+        );
+      while ((await getRuns('started')).length < targets.length)
+        await timers.setTimeout(POLL_MS);
+      const leftAtMs = performance.now();
+      socket.destroy();
+      while (
+        (await getRuns('cancelled')).length < targets.length &&
+        performance.now() - leftAtMs < DEPARTURE_MS
+      )
+        await timers.setTimeout(POLL_MS);
+      earl.expect((await getRuns('cancelled')).length).toEqual(targets.length);
+    },
+  );
+
   void test.it("run only for the key's organisation", async () => {
     const forged = {'x-bramleyrun-organisation': 'telavi'};
     await deployment.request('vm-0', '/look-up/own', {
