Let soak callers pipeline and leave, and connections to the store fall silent

Callers at each VM now pipeline three long requests and leave, in good order or with a reset, and work for them after half a second is a violation; once in each soak the open connections to the store fall silent.

--- a/standins/store/PublishedUpstream.ts
+++ b/standins/store/PublishedUpstream.ts
@@ -62,6 +62,7 @@
     void this.handle(request, response);
   });
   private readonly busyIds = new Set<string>();
+  private readonly workEnds = new Map<string, number>();
   private endlessBytes = 0;
   private port = 0;
 
@@ -90,6 +91,11 @@
     return [...this.busyIds];
   }
 
+  /** Gets the wall-clock time in milliseconds at which the work on a request ended, or nothing before. */
+  getWorkEndMs(requestId: string): number | undefined {
+    return this.workEnds.get(requestId);
+  }
+
   /** Gets how many bytes were taken of answers that never end. */
   getEndlessBytes(): number {
     return this.endlessBytes;
@@ -141,15 +147,19 @@
       atMs: Date.now(),
     });
     this.busyIds.add(requestId);
-    const isDone = await this.work(response);
+    const isDone = await this.work(response, getWorkMs(request) ?? this.workMs);
     if (isDone) this.answer(request, response, requestId);
     this.busyIds.delete(requestId);
+    this.workEnds.set(requestId, Date.now());
   }
 
   /** Works on a request unless its connection closes first; tells whether the work was done. */
-  private work(response: http.ServerResponse): Promise<boolean> {
+  private work(
+    response: http.ServerResponse,
+    workMs: number,
+  ): Promise<boolean> {
     return new Promise(resolve => {
-      const timer = setTimeout(() => resolve(true), this.workMs);
+      const timer = setTimeout(() => resolve(true), workMs);
       response.once('close', () => {
         clearTimeout(timer);
         resolve(false);
@@ -241,3 +251,10 @@
     }
   }
 }
+
+/** Gets how long in milliseconds a request itself asks to be worked on. */
+function getWorkMs(request: http.IncomingMessage): number | undefined {
+  const {searchParams} = new URL(request.url ?? '/', 'http://upstream');
+  const wanted = searchParams.get('ms');
+  return wanted === null ? undefined : Number(wanted);
+}
--- a/test/platform/RawCaller.ts
+++ b/test/platform/RawCaller.ts
@@ -14,24 +14,29 @@
     });
   }
 
-  /** Connects to a VM's callers' listener. */
+  /** Connects to a VM's callers' listener. @throws Error when it refuses. */
   static async connect(host: string, port: number): Promise<RawCaller> {
     const socket = net.connect(port, host);
-    await new Promise(resolve => socket.once('connect', resolve));
+    await new Promise<void>((resolve, reject) => {
+      socket.once('connect', resolve);
+      socket.once('error', reject);
+    });
     return new RawCaller(socket);
   }
 
   /** Sends one GET request for each identifier, without waiting for answers. */
-  send(requestIds: readonly string[], path = '/look/x'): void {
+  send(requestIds: readonly string[], path = '/look/x', key = 'k1'): void {
     this.socket.write(
-      requestIds.map(requestId => getHead('GET', requestId, path)).join(''),
+      requestIds
+        .map(requestId => getHead('GET', requestId, path, key))
+        .join(''),
     );
   }
 
   /** Sends the head of a POST request that promises a body of a length. */
   sendHead(requestId: string, path: string, bodyBytes: number): void {
     this.socket.write(
-      getHead('POST', requestId, path, `content-length: ${bodyBytes}`),
+      getHead('POST', requestId, path, 'k1', `content-length: ${bodyBytes}`),
     );
   }
 
@@ -57,6 +62,7 @@
   method: 'GET' | 'POST',
   requestId: string,
   path: string,
+  key: string,
   ...more: readonly string[]
 ): string {
   return [
@@ -65,7 +71,7 @@
     `x-request-id: ${requestId}`,
     `x-affinity-key: ${requestId}`,
     'x-request-deadline: 3000',
-    'authorization: Bearer k1',
+    `authorization: Bearer ${key}`,
     ...more,
     '\r\n',
   ].join('\r\n');
--- a/test/soak/entry/EntrySoak.test.ts
+++ b/test/soak/entry/EntrySoak.test.ts
@@ -18,6 +18,9 @@
   deedsEndAtMs: 4000,
 } as const;
 
+/** How long the upstreams of these cases work, in milliseconds. */
+const WORK_MS = 900;
+
 const REQUEST: records.SoakRequest = {
   requestId: 'q',
   isUnsafe: true,
@@ -26,6 +29,7 @@
   vm: 0,
   sentAtMs: 100_000,
   endedAtMs: 100_100,
+  leftAtMs: undefined,
   httpStatus: 200,
   text: 'answer to q',
 };
@@ -42,7 +46,12 @@
     body: 'the body',
     atMs,
   }));
-  return {upstreamId, runs} as unknown as upstreams.PublishedUpstream;
+  const getWorkEndMs = () => 100_000 + WORK_MS;
+  return {
+    upstreamId,
+    runs,
+    getWorkEndMs,
+  } as unknown as upstreams.PublishedUpstream;
 }
 
 /** Gets the rules that a request broke. */
@@ -96,6 +105,12 @@
     },
   );
 
+  void test.it('finds work for a caller that has left', () => {
+    const left = {httpStatus: undefined, text: ''};
+    earl.expect(find({...left, leftAtMs: 100_100}, {})).toEqual(['GONE']);
+    earl.expect(find({...left, leftAtMs: 100_500}, {})).toEqual([]);
+  });
+
   void test.it('finds requests that a stop cut', () => {
     const disturbances = [
       {vm: 0, isPlanned: true, fromMs: 99_000, toMs: 103_000},
--- a/test/soak/entry/EntrySoak.ts
+++ b/test/soak/entry/EntrySoak.ts
@@ -10,6 +10,12 @@
 const CALLERS_PER_VM = 4;
 const PAUSE_MS = 40;
 
+/** Callers that leave: what they ask for, how many requests at once, how long they stay and pause in milliseconds. */
+const LONG_TARGET = '/look/x?ms=1300';
+const PIPELINED_COUNT = 3;
+const STAY_MS = 60;
+const LEAVE_PAUSE_MS = 300;
+
 /** How long in milliseconds the fleet may take to serve again once all faults are over, and how that is seen. */
 const RECOVERY_MS = 15_000;
 const RECOVERY_CHECK_MS = 200;
@@ -66,7 +72,7 @@
   async run(): Promise<SoakReport> {
     try {
       await this.open();
-      const callers = this.startCallers();
+      const callers = [...this.startCallers(), ...this.startLeavers()];
       await this.play();
       const isRecovered = await this.awaitRecovery();
       this.isOver = true;
@@ -137,6 +143,44 @@
     );
   }
 
+  /** Callers that pipeline long requests and leave before they are answered, one at each VM. */
+  private startLeavers(): readonly Promise<void>[] {
+    return Array.from({length: this.size.vmCount}, async (_, vm) => {
+      for (let turn = 0; !this.isOver; turn++) {
+        await this.callAndLeave(vm, turn).catch(() => undefined);
+        await timers.setTimeout(LEAVE_PAUSE_MS);
+      }
+    });
+  }
+
+  private async callAndLeave(vm: number, turn: number): Promise<void> {
+    const caller = await this.fleet.connect(vm);
+    const [key] = actions.LASTING_KEYS;
+    const requestIds = Array.from(
+      {length: PIPELINED_COUNT},
+      () => `q${this.nextRequest++}`,
+    );
+    const sentAtMs = Date.now();
+    caller.send(requestIds, LONG_TARGET, key);
+    await timers.setTimeout(STAY_MS * (1 + (turn % 3)));
+    if (turn % 2 === 0) caller.leave();
+    else caller.reset();
+    const leftAtMs = Date.now();
+    for (const requestId of requestIds)
+      this.requests.push({
+        requestId,
+        isUnsafe: false,
+        key,
+        target: LONG_TARGET,
+        vm,
+        sentAtMs,
+        endedAtMs: leftAtMs,
+        leftAtMs,
+        httpStatus: undefined,
+        text: '',
+      });
+  }
+
   private async call(vm: number, key: string): Promise<records.SoakRequest> {
     const number = this.nextRequest++;
     const requestId = `q${number}`;
@@ -161,6 +205,7 @@
       vm,
       sentAtMs,
       endedAtMs: Date.now(),
+      leftAtMs: undefined,
       httpStatus: ended.httpStatus,
       text: ended.text,
     };
@@ -217,6 +262,11 @@
       case 'compact':
         this.fleet.store.compact();
         return;
+      case 'silence':
+        await this.disturb(undefined, false, async () =>
+          this.fleet.store.silenceConnections(),
+        );
+        return;
       case 'link': {
         const {proxy} = this.slots[deed.upstream];
         await this.disturb(undefined, false, async () => {
--- a/test/soak/entry/SoakAction.ts
+++ b/test/soak/entry/SoakAction.ts
@@ -16,6 +16,8 @@
       readonly endsAtMs: number;
     }
   | {readonly kind: 'compact'}
+  /** The connections to the store that are open fall silent. */
+  | {readonly kind: 'silence'}
   | {
       readonly kind: 'link';
       readonly upstream: number;
@@ -65,6 +67,9 @@
 const FAULT_MIN_MS = 300;
 const FAULT_MAX_MS = 3500;
 
+/** How often the connections to the store fall silent in one soak. */
+const SILENCE_COUNT = 1;
+
 const STORE_FAULTS: readonly stores.StoreFault[] = [
   {kind: 'refuse', httpStatus: 503},
   {kind: 'refuse', httpStatus: 429},
@@ -91,7 +96,7 @@
   'silent',
   'replaced',
 ];
-const KINDS: readonly SoakDeed['kind'][] = [
+const KINDS: readonly Exclude<SoakDeed['kind'], 'silence'>[] = [
   'kill',
   'stop',
   'pause',
@@ -143,8 +148,16 @@
         return {kind, failureDomain: 'irbid-a', endsAtMs};
     }
   };
-  return Array.from({length: size.deedCount}, () => {
+  const deeds = Array.from({length: size.deedCount}, () => {
     const atMs = draw(0, size.deedsEndAtMs);
     return {atMs, deed: drawDeed(atMs)};
-  }).sort((first, second) => first.atMs - second.atMs);
+  });
+  // Drawn last: the other deeds of a seed stay what they were.
+  const silences = Array.from({length: SILENCE_COUNT}, () => ({
+    atMs: draw(0, size.deedsEndAtMs),
+    deed: {kind: 'silence'} as const,
+  }));
+  return [...deeds, ...silences].sort(
+    (first, second) => first.atMs - second.atMs,
+  );
 }
--- a/test/soak/entry/SoakRecord.ts
+++ b/test/soak/entry/SoakRecord.ts
@@ -10,6 +10,9 @@
   readonly sentAtMs: number;
   readonly endedAtMs: number;
 
+  /** When its caller left without waiting for the answer, or nothing when it waited. */
+  readonly leftAtMs: number | undefined;
+
   /** The status, or nothing when the connection ended without an answer. */
   readonly httpStatus: number | undefined;
   readonly text: string;
--- a/test/soak/entry/findViolations.ts
+++ b/test/soak/entry/findViolations.ts
@@ -9,6 +9,9 @@
 /** How long in milliseconds nothing must have disturbed a VM for the bounds to hold there. */
 const CALM_MS = 4000;
 
+/** How long in milliseconds upstreams may go on with the work of a caller that has left. */
+const DEPARTURE_MS = 500;
+
 /** How long after its stop a VM's requests count as cut by it: the grace period and a second. */
 const STOP_MS = 7000;
 
@@ -41,6 +44,7 @@
       ...findInRuns(record, request, own),
       ...findLateRuns(record, request, own),
       ...findCut(record, request, own),
+      ...findWorkForNobody(record, request, own),
     );
   }
   return violations;
@@ -136,8 +140,9 @@
   request: records.SoakRequest,
   runs: readonly Run[],
 ): readonly string[] {
-  const {requestId, vm, httpStatus, sentAtMs, endedAtMs} = request;
+  const {requestId, vm, httpStatus, sentAtMs, endedAtMs, leftAtMs} = request;
   if (httpStatus !== undefined || runs.length === 0) return [];
+  if (leftAtMs !== undefined) return [];
   const isStopping = record.disturbances.some(
     disturbance =>
       disturbance.isPlanned &&
@@ -154,6 +159,26 @@
     : [];
 }
 
+/** Runs that came, or were worked on, long after the caller had left a VM that was undisturbed. */
+function findWorkForNobody(
+  record: records.SoakRecord,
+  request: records.SoakRequest,
+  runs: readonly Run[],
+): readonly string[] {
+  const {requestId, vm, sentAtMs, leftAtMs} = request;
+  if (leftAtMs === undefined) return [];
+  const boundAtMs = leftAtMs + DEPARTURE_MS;
+  if (!isCalm(record, vm, sentAtMs, boundAtMs)) return [];
+  return runs.flatMap(run => {
+    const upstream = record.upstreams.find(
+      known => known.upstreamId === run.upstreamId,
+    );
+    const endMs = upstream?.getWorkEndMs(requestId) ?? Infinity;
+    const lateMs = Math.max(run.atMs, endMs) - boundAtMs;
+    return lateMs > 0 ? [`GONE ${requestId}: ${lateMs} ms too long`] : [];
+  });
+}
+
 function isCalm(
   record: records.SoakRecord,
   vm: number,
