Keep the configuration object when a reading brings the same one

Whole readings after a break are more frequent now. Each made a new object of an unchanged configuration, which all services took for a change: routes and keys were indexed anew and configurationApplied was logged.

--- a/src/decisions/discovery/applyOperatorChanges.ts
+++ b/src/decisions/discovery/applyOperatorChanges.ts
@@ -1,3 +1,4 @@
+import * as util from 'node:util';
 import type * as entry from '../../model/entry/index.js';
 
 /** A change of the operators' rows that can be applied. */
@@ -24,7 +25,11 @@
   for (const change of changes) {
     switch (change.kind) {
       case 'configuration':
-        if (change.configuration.version >= (configuration?.version ?? 0))
+        // What is known stays the same object, so that nobody takes it for a change.
+        if (
+          change.configuration.version >= (configuration?.version ?? 0) &&
+          !util.isDeepStrictEqual(change.configuration, configuration)
+        )
           configuration = change.configuration;
         break;
       case 'evacuated':
