Let no more than a lowered limit in while the window holds more than it may

Cause: 0.9 of the requests that leave the window may be replaced as they leave, whatever the window holds. After the limit was lowered from 109/s to 35/s, limitReached shows fleetCount 700 to 500 beside windowCount 246 for eight seconds: the use fell by a tenth a window.

Change: what comes in for what leaves is at most the room in the window, or the limit where there is none.

--- a/src/decisions/shares/getLimitAllowance.ts
+++ b/src/decisions/shares/getLimitAllowance.ts
@@ -17,6 +17,9 @@
   /** Requests that one window may hold over all VMs. */
   readonly windowCount: number;
 
+  /** The limit of the whole fleet, in requests a second. */
+  readonly limitPerSecond: number;
+
   /** What this VM's callers ask for, in requests a second. */
   readonly ownDemandPerSecond: number;
 }
@@ -77,6 +80,12 @@
     demandPerSecond += use.demandPerSecond;
   }
   const remainder = Math.max(0, windowCount - usedCount);
+  // Where the window holds more than it may, as after a lower limit, no more than the limit comes in for what leaves.
+  const roomPerSecond = windowCount - usedCount + leavingPerSecond;
+  const replacedPerSecond = Math.min(
+    leavingPerSecond * REPLACED_PART,
+    Math.max(roomPerSecond, input.limitPerSecond),
+  );
   const part =
     (input.ownDemandPerSecond + PRIOR_DEMAND_PER_SECOND) /
     (demandPerSecond + completeUses.length * PRIOR_DEMAND_PER_SECOND);
@@ -85,7 +94,7 @@
       remainder * OWN_PART * part,
       input.ownDemandPerSecond * RAMP_SECONDS + OWN_RAMP_COUNT,
     ),
-    ownPerSecond: leavingPerSecond * REPLACED_PART * part,
+    ownPerSecond: replacedPerSecond * part,
     lentCount: Math.min(
       remainder * LENT_PART,
       demandPerSecond * RAMP_SECONDS + LENT_RAMP_COUNT,
--- a/src/services/shares/OrganisationShare.ts
+++ b/src/services/shares/OrganisationShare.ts
@@ -173,6 +173,7 @@
     this.noteFleet(completeUses);
     const allowance = decisions.getLimitAllowance({
       windowCount: this.windowCount,
+      limitPerSecond: this.limitPerSecond,
       memberCount,
       completeUses,
       youngUses: others.youngUses,
--- a/test/decisions/shares/getLimitAllowance.test.ts
+++ b/test/decisions/shares/getLimitAllowance.test.ts
@@ -15,6 +15,7 @@
   return demands.map(ownDemandPerSecond =>
     decisions.getLimitAllowance({
       windowCount,
+      limitPerSecond: windowCount / 6,
       memberCount: demands.length,
       completeUses: demands.map(demandPerSecond => ({
         demandPerSecond,
@@ -59,6 +60,7 @@
     const use = {demandPerSecond: 100, admittedCount: 99, leavingCount: 0};
     const allowance = decisions.getLimitAllowance({
       windowCount: 700,
+      limitPerSecond: 100,
       memberCount: 7,
       completeUses: [use, use, use, use],
       youngUses: [{demandPerSecond: 1, admittedCount: 1, leavingCount: 0}],
@@ -78,6 +80,7 @@
     }));
     const allowance = decisions.getLimitAllowance({
       windowCount: 3551,
+      limitPerSecond: 535,
       memberCount: 37,
       completeUses: uses,
       youngUses: [],
--- a/test/services/shares/OrganisationShare.test.ts
+++ b/test/services/shares/OrganisationShare.test.ts
@@ -50,6 +50,9 @@
   /** VMs that start again at a moment. */
   readonly getRestarts?: (nowMs: number) => readonly number[];
 
+  /** When and to what rate the limit is lowered. */
+  readonly lowering?: {readonly atMs: number; readonly ratePerSecond: number};
+
   /** Whether a VM hears nobody at a moment. */
   readonly isCutOff?: (vm: number, nowMs: number) => boolean;
 }
@@ -142,6 +145,17 @@
   for (let nowMs = STEP_MS; nowMs < LENGTH_MS; nowMs += STEP_MS) {
     for (const index of options.getRestarts?.(nowMs) ?? [])
       vms[index] = start(nowMs);
+    if (nowMs === options.lowering?.atMs) {
+      const lowered = options.lowering.ratePerSecond;
+      for (const [index, vm] of vms.entries()) {
+        vm.share.setOrganisation({
+          ...organisation,
+          ratePerSecond: lowered,
+          burstRequests: lowered,
+        });
+        tell(index, nowMs);
+      }
+    }
     for (const [index, vm] of vms.entries())
       if (nowMs % TELL_MS === vm.phaseMs) tell(index, nowMs);
     const equalMean =
@@ -174,12 +188,18 @@
   return (ratePerSecond * seconds + ratePerSecond) * OVERAGE + SLACK;
 }
 
+/** How soon in milliseconds all VMs hold to a lowered limit: they know it, and a window has passed. */
+const LOWERING_MS = WINDOW_MS + 2 * TELL_MS;
+
 /** What one ideal bucket would admit of demand below the limit, less four in a hundred. */
 const LEAST_ADMITTED_PART = 0.96;
 
 /** The part of the rate that callers get however much they ask for. */
 const LEAST_OVERLOAD_PART = 0.92;
 
+/** The part of a lowered rate that callers get while what was admitted before leaves the window. */
+const LEAST_LOWERED_PART = 0.5;
+
 const SEEDS: readonly number[] = [1, 2, 3, 4, 5, 6];
 const CALM_SEEDS: readonly number[] = [1, 2];
 const SIZES: readonly (readonly [number, number])[] = [
@@ -251,6 +271,38 @@
       },
     );
 
+  for (const [vmCount, ratePerSecond] of SIZES)
+    void test.it(
+      `holds a limit that is lowered under load from ${ratePerSecond}/s over ${vmCount} VMs`,
+      () => {
+        for (const seed of SEEDS) {
+          const lowered = ratePerSecond / 4;
+          const atMs = 15_000;
+          const {admittedAtMs} = play({
+            vmCount,
+            ratePerSecond,
+            seed,
+            getPressure: () => 2,
+            lowering: {atMs, ratePerSecond: lowered},
+          });
+          const bound = admittedAtMs.filter(
+            admitted => admitted > atMs + LOWERING_MS - WINDOW_MS,
+          );
+          earl
+            .expect(getMostInWindow(bound))
+            .toBeLessThanOrEqual(getBound(lowered));
+          // Callers get the lowered rate from the first window on.
+          const first = admittedAtMs.filter(
+            admitted => admitted > atMs && admitted <= atMs + WINDOW_MS,
+          );
+          const fullCount = (lowered * WINDOW_MS) / 1000;
+          earl
+            .expect(first.length)
+            .toBeGreaterThanOrEqual(LEAST_LOWERED_PART * fullCount);
+        }
+      },
+    );
+
   for (const [vmCount, ratePerSecond] of SIZES)
     void test.it(
       `refuses little below ${ratePerSecond}/s over ${vmCount} VMs`,
