Drop upstreams that a peer no longer has while the store turns this VM away

What upstreams saw: a VM that the store turns away (503, 429, a reset or no answer) while it serves the others went on sending to an upstream that had left, for as long as that lasted (DRAIN; bound 2500 ms).

Cause: such a VM takes its knowledge from peers. Each failed reading of its own began an outage, so that each peer's rows were taken for the first reading after one, and entries that they lacked were kept as lapsed, again and again. Peers were asked only once knowledge was over-age, although a refusal tells at once that the store does not.

Change: a peer's rows replace what is known, as the peer has kept what lapsed; a VM whose last call to the store failed asks a peer that is ahead at once, at most every 400 ms.

Evidence: refusals, 'sends nothing to upstreams that have left', failed for all four kinds of refusal before (15 requests of 20 reached it), and passes now.

--- a/src/decisions/discovery/mergeUpstreams.ts
+++ b/src/decisions/discovery/mergeUpstreams.ts
@@ -60,3 +60,17 @@
   for (const record of records) upstreams.set(record.upstreamId, record);
   return {upstreams, lapsedIds};
 }
+
+/** Takes records that a peer has merged already: all that it lacks is gone. */
+export function takeUpstreams(
+  known: Discovery,
+  records: readonly entry.UpstreamRecord[],
+): Discovery {
+  const upstreams = new Map(
+    records.map(record => [record.upstreamId, record] as const),
+  );
+  const lapsedIds = new Set(
+    [...known.lapsedIds].filter(upstreamId => upstreams.has(upstreamId)),
+  );
+  return {upstreams, lapsedIds};
+}
--- a/src/services/knowledge/KnowledgeTask.ts
+++ b/src/services/knowledge/KnowledgeTask.ts
@@ -26,9 +26,12 @@
 /** The part of the bound on leaving upstreams after which their entries are read again. */
 const UPSTREAM_POLL_PART = 0.45;
 
-/** How long in milliseconds the store may be away before peers are asked. */
+/** How much older in milliseconds than usual knowledge may be before peers are asked. */
 const PEER_FALLBACK_MS = 600;
 
+/** The least time in milliseconds from one question to a peer to the next. */
+const PEER_INTERVAL_MS = 400;
+
 /** How long in milliseconds a peer's answer is waited for. */
 const PEER_TIMEOUT_MS = 700;
 
@@ -66,6 +69,7 @@
   private regainedAtMs: number | undefined;
   private view: membersService.MembersChanged | undefined;
   private isAskingPeer = false;
+  private peerAskedAtMs = -Infinity;
   private isFollowing = false;
   private peerTurn = 0;
   private isStopped = false;
@@ -339,6 +343,15 @@
     this.publishUpstreams();
   }
 
+  /** Takes a peer's rows. They have what lapsed in an outage, so what they lack has left. */
+  private setPeersUpstreams(rows: entry.UpstreamRows): void {
+    if (rows.tableVersion <= this.upstreamTableVersion) return;
+    this.upstreamTableVersion = rows.tableVersion;
+    this.upstreamReadAtMs = this.nowMs();
+    this.discovery = decisions.takeUpstreams(this.discovery, rows.upstreams);
+    this.publishUpstreams();
+  }
+
   private publishUpstreams(): void {
     if (this.upstreamTableVersion === 0) return;
     const upstreams = [...this.discovery.upstreams.values()];
@@ -363,12 +376,16 @@
   private askPeerIfBehind(): void {
     if (this.isAskingPeer || this.isStopped || this.view === undefined) return;
     const nowMs = this.nowMs();
+    if (nowMs < this.peerAskedAtMs + PEER_INTERVAL_MS) return;
+    // A store that turns this VM away serves others, so what it does not tell is asked for at once.
     const isOperatorStale =
+      this.following.kind === 'snapshot' ||
       nowMs - this.operatorKnownAtMs >
-      this.getFollowWaitMs() + PEER_FALLBACK_MS;
+        this.getFollowWaitMs() + PEER_FALLBACK_MS;
     const isUpstreamStale =
+      this.reach.kind === 'away' ||
       nowMs - this.upstreamReadAtMs >
-      this.getUpstreamPollMs() + PEER_FALLBACK_MS;
+        this.getUpstreamPollMs() + PEER_FALLBACK_MS;
     const operatorVersion = this.operatorRows?.tableVersion ?? 0;
     const ahead = this.view.statuses.filter(
       status =>
@@ -380,6 +397,7 @@
     this.peerTurn += 1;
     const {member} = ahead[this.peerTurn % ahead.length];
     this.isAskingPeer = true;
+    this.peerAskedAtMs = nowMs;
     void this.getService(peersService.PEERS)
       .ask<peersService.CallResult>(reply => ({
         kind: 'call',
@@ -412,9 +430,7 @@
         this.getKnowledgeAgeMs(),
       );
     if (upstreamRows !== undefined) {
-      const {upstreams, tableVersion} = upstreamRows;
-      if (tableVersion > this.upstreamTableVersion)
-        this.setUpstreams(upstreams, tableVersion, this.nowMs());
+      this.setPeersUpstreams(upstreamRows);
     }
   }
 
