--- a/src/services/entry/EntryTask.ts
+++ b/src/services/entry/EntryTask.ts
@@ -164,7 +164,7 @@
     const callerDeadlineMs =
       arrivedAtMs + (envelope.remainingMs ?? DEFAULT_WAIT_MS);
     try {
-      const body = await this.readBody(incoming, envelope, callerDeadlineMs);
+      const body = await this.readBody(incoming, callerDeadlineMs);
       await this.barrier.wait();
       const request: entry.EntryRequest = {
         requestId: envelope.requestId,
@@ -199,7 +199,6 @@
   /** Reads a request's body for no longer than its route or its caller allows. */
   private async readBody(
     incoming: http.IncomingMessage,
-    envelope: codecs.RequestEnvelope,
     callerDeadlineMs: number,
   ): Promise<Uint8Array> {
     if (!httpService.hasBody(incoming)) return EMPTY_BODY;
--- a/test/platform/EntryFleet.ts
+++ b/test/platform/EntryFleet.ts
@@ -51,6 +51,11 @@
   readonly ratePerSecond: number;
 }
 
+/** Gets the organisations of a fleet that has one, which holds one key and has no limit. */
+export function getSoleOrganisation(key: string): readonly FleetOrganisation[] {
+  return [{name: 'rustavi', keys: [key], ratePerSecond: 0}];
+}
+
 interface Vm {
   readonly host: string;
   readonly process: processes.ManagedProcess;
--- a/test/platform/refusals.test.ts
+++ b/test/platform/refusals.test.ts
@@ -22,10 +22,6 @@
   {kind: 'silence'},
 ];
 
-function getOrganisations(key: string): readonly fleets.FleetOrganisation[] {
-  return [{name: 'rustavi', keys: [key], ratePerSecond: 0}];
-}
-
 /** Runs a test over a fleet in which the store turns one VM away and serves the others. */
 async function withRefusedVm(
   fault: stores.StoreFault,
@@ -34,7 +30,7 @@
   const fleet = new fleets.EntryFleet();
   try {
     await fleet.open();
-    fleet.configure(ROUTES, getOrganisations('k1'));
+    fleet.configure(ROUTES, fleets.getSoleOrganisation('k1'));
     await fleet.addUpstream('desk');
     await fleet.addUpstream('desk', 'irbid-a');
     await fleet.addVms(VM_COUNT);
@@ -55,7 +51,7 @@
 
     void test.it(`has changes in force in time (${name})`, async () => {
       await withRefusedVm(fault, async fleet => {
-        fleet.configure(ROUTES, getOrganisations('k2'));
+        fleet.configure(ROUTES, fleets.getSoleOrganisation('k2'));
         await timers.setTimeout(CONFIGURATION_MS);
         const granted = await fleet.call(REFUSED_VM, {key: 'k2'});
         earl.expect(granted.httpStatus).toEqual(200);
--- a/test/platform/silence.test.ts
+++ b/test/platform/silence.test.ts
@@ -14,10 +14,6 @@
   {prefix: '/look/', kind: 'safe', service: 'desk'},
 ];
 
-function getOrganisations(key: string): readonly fleets.FleetOrganisation[] {
-  return [{name: 'rustavi', keys: [key], ratePerSecond: 0}];
-}
-
 /** Runs a test over a VM that has just called for changes. */
 async function withWaitingVm(
   run: (fleet: fleets.EntryFleet) => Promise<void>,
@@ -25,7 +21,7 @@
   const fleet = new fleets.EntryFleet();
   try {
     await fleet.open();
-    fleet.configure(ROUTES, getOrganisations('k1'));
+    fleet.configure(ROUTES, fleets.getSoleOrganisation('k1'));
     await fleet.addUpstream('desk');
     await fleet.addVms(1);
     await waitForNextCall(fleet);
@@ -46,7 +42,7 @@
   endedAtMs: number,
 ): Promise<void> {
   await timers.setTimeout(endedAtMs + CHANGE_AFTER_MS - performance.now());
-  fleet.configure(ROUTES, getOrganisations('k2'));
+  fleet.configure(ROUTES, fleets.getSoleOrganisation('k2'));
   const boundAtMs =
     endedAtMs +
     Math.max(STABILITY_WINDOW_MS, CHANGE_AFTER_MS + CONFIGURATION_MS);
