Reset connections of stand-ins only once their own end is out

Cause: socket.resetAndDestroy() right after socket.end() fails with EINVAL, as the end has not been handed to the kernel. Node.js then forgets the handle without closing it: it keeps the process alive, and once the other end is reset the event loop spins on it. The fault proxy does both in one turn when a target ends a connection just before a cut. Evidence: resetSocket.test fails with EINVAL on the plain call. Ruled out: load; the same pair of calls spins alone on a quiet machine.

--- a/standins/proxy/FaultProxy.ts
+++ b/standins/proxy/FaultProxy.ts
@@ -1,4 +1,5 @@
 import * as net from 'node:net';
+import * as sockets from './resetSocket.js';
 
 /** What a proxy does with the connections of one source. */
 export type ProxyFault =
@@ -109,7 +110,7 @@
     target.once('close', isBroken =>
       // A reset stays a reset: the end of a connection can mark the end of an answer.
       this.later(source, () =>
-        isBroken ? client.resetAndDestroy() : client.destroy(),
+        isBroken ? sockets.resetSocket(client) : client.destroy(),
       ),
     );
     target.on('error', error => this.noteTargetError(error));
@@ -137,8 +138,8 @@
           setTimeout(() => to.write(chunk), fault.delayMs);
           return;
         case 'cut':
-          from.resetAndDestroy();
-          to.resetAndDestroy();
+          sockets.resetSocket(from);
+          sockets.resetSocket(to);
           return;
         case 'freeze':
           return;
@@ -151,8 +152,8 @@
         case 'truncate':
           if (isRequest || sizeBytes <= fault.afterBytes) to.write(chunk);
           else {
-            from.resetAndDestroy();
-            to.resetAndDestroy();
+            sockets.resetSocket(from);
+            sockets.resetSocket(to);
           }
           return;
       }
@@ -196,6 +197,6 @@
   private destroySockets(sourceHost: string | undefined): void {
     for (const socket of this.sockets)
       if (sourceHost === undefined || socket.remoteAddress === sourceHost)
-        socket.resetAndDestroy();
+        sockets.resetSocket(socket);
   }
 }
--- a/standins/store/PublishedStore.ts
+++ b/standins/store/PublishedStore.ts
@@ -1,6 +1,7 @@
 import * as events from 'node:events';
 import * as http from 'node:http';
 import type * as net from 'node:net';
+import * as sockets from '../proxy/resetSocket.js';
 
 /** How the store misbehaves towards the callers of one address, or all. */
 export type StoreFault =
@@ -148,7 +149,7 @@
         response.writeHead(fault.httpStatus).end();
         return;
       case 'reset':
-        request.socket.resetAndDestroy();
+        sockets.resetSocket(request.socket);
         return;
       case 'silence':
         return;
--- a/standins/store/PublishedUpstream.ts
+++ b/standins/store/PublishedUpstream.ts
@@ -1,5 +1,6 @@
 import * as http from 'node:http';
 import type * as net from 'node:net';
+import * as sockets from '../proxy/resetSocket.js';
 
 /** How an upstream treats the requests that reach it. */
 export type UpstreamMode =
@@ -180,7 +181,7 @@
     // Waits until the head has gone out: a reset drops what is still in the buffer.
     else socket.write(body.slice(0, 5), () => setTimeout(reset, RESET_MS));
     function reset(): void {
-      socket.resetAndDestroy();
+      sockets.resetSocket(socket);
     }
   }
 
@@ -212,7 +213,7 @@
     };
     switch (this.mode) {
       case 'resetAfterRun':
-        request.socket.resetAndDestroy();
+        sockets.resetSocket(request.socket);
         return;
       case 'silent':
         return;
--- a/test/platform/RawCaller.ts
+++ b/test/platform/RawCaller.ts
@@ -1,4 +1,5 @@
 import * as net from 'node:net';
+import * as sockets from '../../standins/proxy/resetSocket.js';
 
 /** A caller that writes its requests itself: several on one connection before the first is answered. */
 export class RawCaller {
@@ -54,7 +55,7 @@
 
   /** Resets the connection. */
   reset(): void {
-    this.socket.resetAndDestroy();
+    sockets.resetSocket(this.socket);
   }
 }
 
