Pass connections through the fault proxy in order, and nothing after a loss

Seen: the proxy let the end of a connection pass while it dropped bytes, and let later bytes overtake delayed ones when a delay ended. An answer without a length then looked whole to a VM, or came garbled, as no TCP peer can do it. Cause: each event looked up the fault in force by itself; nothing owned the order of one direction. Fix: ProxyStream owns a direction: a queue with the time each event is due, and a mark once something was dropped, after which nothing passes any more. The end of a connection is passed once its bytes are out. Evidence: FaultProxy.test fails on the code before in 'passes no end after bytes that it dropped' and 'keeps bytes in order when a delay ends'.

--- a/standins/proxy/FaultProxy.ts
+++ b/standins/proxy/FaultProxy.ts
@@ -1,21 +1,8 @@
 import * as net from 'node:net';
-import * as sockets from './resetSocket.js';
-
-/** What a proxy does with the connections of one source. */
-export type ProxyFault =
-  | {readonly kind: 'none'}
-  /** Bytes come later by this time in milliseconds, in each direction. */
-  | {readonly kind: 'delay'; readonly delayMs: number}
-  /** Connections are reset at once. */
-  | {readonly kind: 'cut'}
-  /** Connections stay open and nothing passes. */
-  | {readonly kind: 'freeze'}
-  /** Nothing passes towards the target. */
-  | {readonly kind: 'dropRequests'}
-  /** Nothing passes from the target. */
-  | {readonly kind: 'dropAnswers'}
-  /** Connections are reset after so many bytes from the target. */
-  | {readonly kind: 'truncate'; readonly afterBytes: number};
+import * as connections from './ProxyConnection.js';
+import type * as faults from './ProxyFault.js';
+
+export type {ProxyFault} from './ProxyFault.js';
 
 const REOPEN_CHECK_MS = 50;
 
@@ -27,13 +14,13 @@
   private readonly host: string;
   private readonly targetHost: string;
   private readonly targetPort: number;
-  private readonly faults = new Map<string, ProxyFault>();
-  private readonly sockets = new Set<net.Socket>();
+  private readonly faults = new Map<string, faults.ProxyFault>();
+  private readonly connections = new Set<connections.ProxyConnection>();
   private server: net.Server | undefined;
   private port = 0;
   private passedBytes = 0;
   private isClosed = false;
-  private fault: ProxyFault = {kind: 'none'};
+  private fault: faults.ProxyFault = {kind: 'none'};
 
   /** @param target Where connections go, as host:port. */
   constructor(target: string, host = '127.0.0.1') {
@@ -60,16 +47,16 @@
   }
 
   /** Sets the fault of a source address, or of all others. */
-  setFault(fault: ProxyFault, sourceHost?: string): void {
+  setFault(fault: faults.ProxyFault, sourceHost?: string): void {
     if (sourceHost === undefined) this.fault = fault;
     else this.faults.set(sourceHost, fault);
-    if (fault.kind === 'cut') this.destroySockets(sourceHost);
+    if (fault.kind === 'cut') this.resetConnections(sourceHost);
   }
 
   /** Closes everything. */
   async close(): Promise<void> {
     this.isClosed = true;
-    this.destroySockets(undefined);
+    this.resetConnections(undefined);
     await this.closeServer();
   }
 
@@ -86,85 +73,29 @@
     this.port = (server.address() as net.AddressInfo).port;
   }
 
-  private getFault(sourceHost: string): ProxyFault {
+  private getFault(sourceHost: string): faults.ProxyFault {
     return this.faults.get(sourceHost) ?? this.fault;
   }
 
-  private accept(client: net.Socket): void {
-    const source = client.remoteAddress ?? '';
-    client.on('error', () => client.destroy());
-    if (this.getFault(source).kind === 'cut') {
-      client.destroy();
+  private accept(caller: net.Socket): void {
+    const sourceHost = caller.remoteAddress ?? '';
+    if (this.getFault(sourceHost).kind === 'cut') {
+      caller.destroy();
       return;
     }
     const target = net.connect({
       port: this.targetPort,
       host: this.targetHost,
       allowHalfOpen: true,
+      noDelay: true,
     });
-    this.sockets.add(client);
-    client.once('close', () => {
-      this.sockets.delete(client);
-      this.later(source, () => target.destroy());
-    });
-    target.once('close', isBroken =>
-      // A reset stays a reset: the end of a connection can mark the end of an answer.
-      this.later(source, () =>
-        isBroken ? sockets.resetSocket(client) : client.destroy(),
-      ),
-    );
     target.on('error', error => this.noteTargetError(error));
-    this.pipe(client, target, source, true);
-    this.pipe(target, client, source, false);
-  }
-
-  private pipe(
-    from: net.Socket,
-    to: net.Socket,
-    source: string,
-    isRequest: boolean,
-  ): void {
-    let sizeBytes = 0;
-    from.on('end', () => this.later(source, () => to.end()));
-    from.on('data', chunk => {
-      const fault = this.getFault(source);
-      sizeBytes += chunk.length;
-      this.passedBytes += chunk.length;
-      switch (fault.kind) {
-        case 'none':
-          to.write(chunk);
-          return;
-        case 'delay':
-          setTimeout(() => to.write(chunk), fault.delayMs);
-          return;
-        case 'cut':
-          sockets.resetSocket(from);
-          sockets.resetSocket(to);
-          return;
-        case 'freeze':
-          return;
-        case 'dropRequests':
-          if (!isRequest) to.write(chunk);
-          return;
-        case 'dropAnswers':
-          if (isRequest) to.write(chunk);
-          return;
-        case 'truncate':
-          if (isRequest || sizeBytes <= fault.afterBytes) to.write(chunk);
-          else {
-            sockets.resetSocket(from);
-            sockets.resetSocket(to);
-          }
-          return;
-      }
+    const connection = new connections.ProxyConnection(caller, target, {
+      getFault: () => this.getFault(sourceHost),
+      onBytes: sizeBytes => (this.passedBytes += sizeBytes),
+      onClose: () => this.connections.delete(connection),
     });
-  }
-
-  /** Runs an action after the bytes that came before it have passed. */
-  private later(source: string, action: () => void): void {
-    const fault = this.getFault(source);
-    if (fault.kind === 'delay') setTimeout(action, fault.delayMs);
-    else action();
+    this.connections.add(connection);
   }
 
   private noteTargetError(error: Error): void {
@@ -190,13 +121,13 @@
     this.server = undefined;
     if (server === undefined) return;
     const closed = new Promise(resolve => server.close(resolve));
-    this.destroySockets(undefined);
+    this.resetConnections(undefined);
     await closed;
   }
 
-  private destroySockets(sourceHost: string | undefined): void {
-    for (const socket of this.sockets)
-      if (sourceHost === undefined || socket.remoteAddress === sourceHost)
-        sockets.resetSocket(socket);
+  private resetConnections(sourceHost: string | undefined): void {
+    for (const connection of this.connections)
+      if (sourceHost === undefined || connection.sourceHost === sourceHost)
+        connection.reset();
   }
 }
