Take no part of an answer for whole in the daemon, too

Seen: an upstream that resets the connection within an answer without a length gave the daemon's caller that part with a length of its own: a whole answer. The daemon's UpstreamClient did not watch for resets at all; only the entry program's connections did. Fix: both clients open their connections through the same ResetWatch; an answer that is passed on as it comes is broken off.

--- a/src/services/upstreams/UpstreamClient.ts
+++ b/src/services/upstreams/UpstreamClient.ts
@@ -47,6 +47,7 @@
 export class UpstreamClient {
   private readonly upstreamId: string;
   private readonly pool: undici.Pool;
+  private readonly resets = new httpService.ResetWatch();
 
   /** @param address Where the upstream listens, as host:port. */
   constructor(upstreamId: string, address: string) {
@@ -58,7 +59,7 @@
       keepAliveMaxTimeout: KEEP_ALIVE_MS,
       headersTimeout: 0,
       bodyTimeout: 0,
-      connect: {timeout: CONNECT_TIMEOUT_MS},
+      connect: this.resets.getConnector(CONNECT_TIMEOUT_MS),
     });
   }
 
@@ -68,7 +69,12 @@
     if (sending.abandoned.aborted) return Promise.resolve({kind: 'abandoned'});
     const {request} = sending;
     return new Promise(resolve => {
-      const exchange = new Exchange(this.upstreamId, sending, resolve);
+      const exchange = new Exchange(
+        this.upstreamId,
+        sending,
+        this.resets,
+        resolve,
+      );
       this.pool.dispatch(
         {
           method: request.method as undici.Dispatcher.HttpMethod,
@@ -91,6 +97,7 @@
 class Exchange implements undici.Dispatcher.DispatchHandler {
   private readonly upstreamId: string;
   private readonly sending: Sending;
+  private readonly resets: httpService.ResetWatch;
   private readonly resolve: (result: SendResult) => void;
   private readonly timer: NodeJS.Timeout;
   private readonly chunks: Buffer[] = [];
@@ -105,10 +112,12 @@
   constructor(
     upstreamId: string,
     sending: Sending,
+    resets: httpService.ResetWatch,
     resolve: (result: SendResult) => void,
   ) {
     this.upstreamId = upstreamId;
     this.sending = sending;
+    this.resets = resets;
     this.resolve = resolve;
     this.timer = setTimeout(
       () => this.abort({kind: 'timedOut'}),
@@ -152,6 +161,10 @@
   }
 
   onResponseEnd(): void {
+    if (this.resets.isResetting) {
+      this.fail('broken', new Error('reset within the answer'));
+      return;
+    }
     this.cleanUp();
     if (this.output !== undefined) {
       this.output.end();
@@ -171,14 +184,15 @@
     controller: undici.Dispatcher.DispatchController | null,
     error: Error,
   ): void {
-    this.cleanUp();
-    if (this.output !== undefined) {
-      this.output.destroy(error);
-      return;
-    }
     const isNotSent =
       this.controller === undefined || httpService.isNotSent(error);
-    this.settle({kind: isNotSent ? 'notSent' : 'broken'});
+    this.fail(isNotSent ? 'notSent' : 'broken', error);
+  }
+
+  private fail(kind: 'notSent' | 'broken', error: Error): void {
+    this.cleanUp();
+    if (this.output === undefined) this.settle({kind});
+    else this.output.destroy(error);
   }
 
   private startStream(): void {
