Say which VM refused in the test of draining upstreams, and why

Six of 60 requests got 503 there once, and the statuses alone do not tell which of five refusals it was.

--- a/test/deployment/Requests.test.ts
+++ b/test/deployment/Requests.test.ts
@@ -228,16 +228,16 @@
           });
           return answer.httpStatus === 200;
         });
-      const statuses: number[] = [];
+      const failures: string[] = [];
       for (let index = 0; index < 60; index += 1) {
-        const answer = await deployment.request(
-          `vm-${index % 3}`,
-          '/look-up/drain',
-          {key: KEY},
-        );
-        statuses.push(answer.httpStatus);
+        const vmId = `vm-${index % 3}`;
+        const answer = await deployment.request(vmId, '/look-up/drain', {
+          key: KEY,
+        });
+        if (answer.httpStatus !== 200)
+          failures.push(`${index} ${vmId} ${answer.httpStatus} ${answer.text}`);
       }
-      earl.expect(statuses.filter(status => status !== 200)).toEqual([]);
+      earl.expect(failures).toEqual([]);
       const drainRuns = await getRunsOf('/look-up/drain');
       const upstreamIds = drainRuns.map(run => run.upstreamId);
       earl.expect(upstreamIds.length).toEqual(60);
