--- a/test/platform/EntryFleet.ts
+++ b/test/platform/EntryFleet.ts
@@ -56,6 +56,19 @@
   return [{name: 'rustavi', keys: [key], ratePerSecond: 0}];
 }
 
+/** Runs a test over a fleet whose store is open; the fleet is ended in any case. */
+export async function withFleet(
+  run: (fleet: EntryFleet) => Promise<void>,
+): Promise<void> {
+  const fleet = new EntryFleet();
+  try {
+    await fleet.open();
+    await run(fleet);
+  } finally {
+    await fleet.close();
+  }
+}
+
 interface Vm {
   readonly host: string;
   readonly process: processes.ManagedProcess;
--- a/test/platform/departures.test.ts
+++ b/test/platform/departures.test.ts
@@ -30,9 +30,7 @@
     void test.it(
       `ends the work on all pipelined requests of a ${name} connection`,
       async () => {
-        const fleet = new fleets.EntryFleet();
-        try {
-          await fleet.open();
+        await fleets.withFleet(async fleet => {
           fleet.configure(ROUTES, ORGANISATIONS);
           const upstream = await fleet.addUpstream('desk');
           upstream.workMs = 2500;
@@ -45,16 +43,12 @@
           const leftAtMs = performance.now();
           await fleet.waitFor(() => upstream.getBusyIds().length === 0);
           earl.expect(performance.now() - leftAtMs).toBeLessThan(DEPARTURE_MS);
-        } finally {
-          await fleet.close();
-        }
+        });
       },
     );
 
   void test.it('runs nothing for callers that left while it hung', async () => {
-    const fleet = new fleets.EntryFleet();
-    try {
-      await fleet.open();
+    await fleets.withFleet(async fleet => {
       fleet.configure(ROUTES, ORGANISATIONS);
       const upstream = await fleet.addUpstream('desk');
       await fleet.addVms(1);
@@ -74,8 +68,6 @@
       await fleet.call(0, {requestId: 'last'});
       const ran = upstream.runs.map(run => run.requestId);
       earl.expect(ran).toEqual(['before', 'after', 'last']);
-    } finally {
-      await fleet.close();
-    }
+    });
   });
 });
--- a/test/platform/entry.test.ts
+++ b/test/platform/entry.test.ts
@@ -12,21 +12,17 @@
 ];
 
 /** Runs a test over a fleet that is ended in any case. */
-async function withFleet(
+async function withServingFleet(
   vmCount: number,
   run: (fleet: fleets.EntryFleet) => Promise<void>,
 ): Promise<void> {
-  const fleet = new fleets.EntryFleet();
-  try {
-    await fleet.open();
+  await fleets.withFleet(async fleet => {
     fleet.configure(ROUTES, ORGANISATIONS);
     await fleet.addUpstream('desk');
     await fleet.addUpstream('desk');
     await fleet.addVms(vmCount);
     await run(fleet);
-  } finally {
-    await fleet.close();
-  }
+  });
 }
 
 /** Gets the upstreams of a fleet that ran a request. */
@@ -41,9 +37,7 @@
 
 void test.describe('the entry program on the platform', () => {
   void test.it('serves a request and forwards what it should', async () => {
-    const fleet = new fleets.EntryFleet();
-    try {
-      await fleet.open();
+    await fleets.withFleet(async fleet => {
       fleet.configure(ROUTES, ORGANISATIONS);
       const upstream = await fleet.addUpstream('desk');
       await fleet.addVms(1);
@@ -69,30 +63,22 @@
       earl.expect(unknown.httpStatus).toEqual(404);
       const stranger = await fleet.call(0, {key: 'k9'});
       earl.expect(stranger.httpStatus).toEqual(401);
-    } finally {
-      await fleet.close();
-    }
+    });
   });
 
   void test.it('answers 503 until it knows a configuration', async () => {
-    const fleet = new fleets.EntryFleet();
-    try {
-      await fleet.open();
+    await fleets.withFleet(async fleet => {
       const starting = fleet.addVms(1);
       await fleet.waitFor(async () => (await fleet.call(0)).httpStatus === 503);
       fleet.configure(ROUTES, ORGANISATIONS);
       await fleet.addUpstream('desk');
       await starting;
       await fleet.waitFor(async () => (await fleet.call(0)).httpStatus === 200);
-    } finally {
-      await fleet.close();
-    }
+    });
   });
 
   void test.it('runs an unsafe request once whatever comes back', async () => {
-    const fleet = new fleets.EntryFleet();
-    try {
-      await fleet.open();
+    await fleets.withFleet(async fleet => {
       fleet.configure(ROUTES, ORGANISATIONS);
       const upstreams = [
         await fleet.addUpstream('desk'),
@@ -119,15 +105,11 @@
         earl.expect(answer.headers['x-response-seal']).toEqual(undefined);
         earl.expect(countRuns(upstreams, requestId)).toEqual(1);
       }
-    } finally {
-      await fleet.close();
-    }
+    });
   });
 
   void test.it('repeats a safe request that one upstream lost', async () => {
-    const fleet = new fleets.EntryFleet();
-    try {
-      await fleet.open();
+    await fleets.withFleet(async fleet => {
       fleet.configure(ROUTES, ORGANISATIONS);
       const bad = await fleet.addUpstream('desk');
       const good = await fleet.addUpstream('desk');
@@ -150,17 +132,13 @@
         }
       }
       earl.expect(good.runs.length).toBeGreaterThan(0);
-    } finally {
-      await fleet.close();
-    }
+    });
   });
 
   void test.it(
     'passes on an answer that ends with its connection',
     async () => {
-      const fleet = new fleets.EntryFleet();
-      try {
-        await fleet.open();
+      await fleets.withFleet(async fleet => {
         fleet.configure(ROUTES, ORGANISATIONS);
         const upstream = await fleet.addUpstream('desk');
         upstream.mode = 'unframed';
@@ -171,16 +149,12 @@
         // Nobody knows whether it is whole, so it must not be said to be.
         earl.expect(answer.headers['content-length']).toEqual(undefined);
         earl.expect(answer.headers['transfer-encoding']).toEqual(undefined);
-      } finally {
-        await fleet.close();
-      }
+      });
     },
   );
 
   void test.it('tells the truth when every upstream refuses', async () => {
-    const fleet = new fleets.EntryFleet();
-    try {
-      await fleet.open();
+    await fleets.withFleet(async fleet => {
       fleet.configure(ROUTES, ORGANISATIONS);
       const upstream = await fleet.addUpstream('desk');
       await fleet.addVms(1);
@@ -189,17 +163,13 @@
       earl.expect(answer.httpStatus).toEqual(503);
       earl.expect(Number(answer.headers['retry-after'])).toBeGreaterThan(0);
       earl.expect(upstream.runs.length).toEqual(0);
-    } finally {
-      await fleet.close();
-    }
+    });
   });
 
   void test.it(
     'sends nothing to a leaving upstream or an emptied domain',
     async () => {
-      const fleet = new fleets.EntryFleet();
-      try {
-        await fleet.open();
+      await fleets.withFleet(async fleet => {
         fleet.configure(ROUTES, ORGANISATIONS);
         const leaving = await fleet.addUpstream('desk');
         const staying = await fleet.addUpstream('desk', 'irbid-a');
@@ -226,14 +196,12 @@
         await fleet.waitFor(
           async () => (await fleet.call(0)).httpStatus === 200,
         );
-      } finally {
-        await fleet.close();
-      }
+      });
     },
   );
 
   void test.it('applies changes after the history was dropped', async () => {
-    await withFleet(1, async fleet => {
+    await withServingFleet(1, async fleet => {
       fleet.store.compact();
       fleet.configure(ROUTES, [
         {name: 'rustavi', keys: ['k2'], ratePerSecond: 0},
@@ -247,7 +215,7 @@
   });
 
   void test.it('is certain of what is unknown at any moment', async () => {
-    await withFleet(1, async fleet => {
+    await withServingFleet(1, async fleet => {
       // Two waits for changes pass meanwhile.
       const endMs = performance.now() + 6000;
       while (performance.now() < endMs) {
@@ -266,7 +234,7 @@
         {kind: 'silence'},
         {kind: 'reset'},
       ] as const)
-        await withFleet(2, async fleet => {
+        await withServingFleet(2, async fleet => {
           await fleet.waitFor(
             async () => (await fleet.steer(0, 'irbid-a')).length === 1,
           );
@@ -289,7 +257,7 @@
   void test.it(
     'goes on serving while the store is away, also after a kill',
     async () => {
-      await withFleet(2, async fleet => {
+      await withServingFleet(2, async fleet => {
         await fleet.waitFor(
           async () => (await fleet.steer(1, 'amman-a')).length === 1,
         );
@@ -307,9 +275,7 @@
   );
 
   void test.it('cuts no request when it is asked to stop', async () => {
-    const fleet = new fleets.EntryFleet();
-    try {
-      await fleet.open();
+    await fleets.withFleet(async fleet => {
       fleet.configure(ROUTES, ORGANISATIONS);
       const upstream = await fleet.addUpstream('desk');
       upstream.workMs = 300;
@@ -335,15 +301,11 @@
       earl.expect(log.includes('event=storeLost')).toEqual(false);
       const [named] = await fleet.steer(1, 'amman-a');
       earl.expect(named).toEqual(`${fleet.getVmHost(1)}:8668`);
-    } finally {
-      await fleet.close();
-    }
+    });
   });
 
   void test.it('holds an organisation to its limit over two VMs', async () => {
-    const fleet = new fleets.EntryFleet();
-    try {
-      await fleet.open();
+    await fleets.withFleet(async fleet => {
       const ratePerSecond = 20;
       fleet.configure(ROUTES, [{name: 'rustavi', keys: ['k1'], ratePerSecond}]);
       const upstream = await fleet.addUpstream('desk');
@@ -362,8 +324,6 @@
       const allowed = (ratePerSecond * 5 + ratePerSecond) * 1.1 + 20;
       earl.expect(upstream.runs.length).toBeLessThanOrEqual(allowed);
       earl.expect(upstream.runs.length).toBeGreaterThan(ratePerSecond * 4);
-    } finally {
-      await fleet.close();
-    }
+    });
   });
 });
--- a/test/platform/silence.test.ts
+++ b/test/platform/silence.test.ts
@@ -18,17 +18,13 @@
 async function withWaitingVm(
   run: (fleet: fleets.EntryFleet) => Promise<void>,
 ): Promise<void> {
-  const fleet = new fleets.EntryFleet();
-  try {
-    await fleet.open();
+  await fleets.withFleet(async fleet => {
     fleet.configure(ROUTES, fleets.getSoleOrganisation('k1'));
     await fleet.addUpstream('desk');
     await fleet.addVms(1);
     await waitForNextCall(fleet);
     await run(fleet);
-  } finally {
-    await fleet.close();
-  }
+  });
 }
 
 async function waitForNextCall(fleet: fleets.EntryFleet): Promise<void> {
--- a/test/platform/timeLimits.test.ts
+++ b/test/platform/timeLimits.test.ts
@@ -9,9 +9,7 @@
 
 void test.describe('time limits of routes', () => {
   void test.it('end requests whose body does not come', async () => {
-    const fleet = new fleets.EntryFleet();
-    try {
-      await fleet.open();
+    await fleets.withFleet(async fleet => {
       fleet.configure(
         [
           {
@@ -34,8 +32,6 @@
         .toBeLessThan(TIME_LIMIT_MS + MARGIN_MS);
       earl.expect(caller.getStatuses()).toEqual([408]);
       earl.expect(upstream.runs.length).toEqual(0);
-    } finally {
-      await fleet.close();
-    }
+    });
   });
 });
