Follow the entry VMs' rows, so that a VM that the store turns away is told by its peers

Each VM now waits for changes of these rows with one call, and tells a new VM of itself at once. A pause of 1 s between calls lets one answer bring all VMs that start together. A broken or dropped history leads to a whole reading; changes are applied in their order (applyMemberChanges).

--- a/src/decisions/membership/index.ts
+++ b/src/decisions/membership/index.ts
@@ -1,2 +1,3 @@
 export * from './chooseEntryVms.js';
+export * from './MemberRegistry.js';
 export * from './MemberTable.js';
--- a/src/services/members/MembersMessage.ts
+++ b/src/services/members/MembersMessage.ts
@@ -44,7 +44,13 @@
       readonly demands: readonly entry.ServiceDemand[];
     }
   | {readonly kind: 'datagram'; readonly bytes: Uint8Array}
-  | {readonly kind: 'membersRead'; readonly reading: store.MemberReading}
+  | {
+      readonly kind: 'membersRead';
+      readonly reading: store.MemberReading;
+
+      /** Monotonic time in milliseconds at which the call was sent. */
+      readonly sentAtMs: number;
+    }
   | {readonly kind: 'registered'; readonly write: store.StoreWrite}
   | {readonly kind: 'tick'}
   | {readonly kind: 'register'}
--- a/src/services/members/MembersTask.ts
+++ b/src/services/members/MembersTask.ts
@@ -12,10 +12,16 @@
 /** How often in milliseconds subscribers hear who is there; peers hear of this VM as often as demands are told. */
 const PUBLISH_INTERVAL_MS = 250;
 
-/** How often in milliseconds the rows of all VMs are read again, for peers that were never heard. */
-const READ_INTERVAL_MS = 15_000;
+/** How long in milliseconds one call waits for changes of the VMs' rows: half of what the store allows. */
+const FOLLOW_WAIT_MS = 15_000;
 
-/** Pause in milliseconds after a call that failed. */
+/**
+ * The least time in milliseconds from one call for the VMs' rows to the next: one call brings all that start together,
+ * and a new peer is known well within the bound on configuration.
+ */
+const FOLLOW_INTERVAL_MS = 1000;
+
+/** Pause in milliseconds after a call that failed while no rows are known. */
 const RETRY_MS = 400;
 
 /** Owns the datagram socket on which VMs tell each other of themselves, and knows who is there. */
@@ -25,7 +31,11 @@
   private readonly subscribers: kernel.Address<messages.MembersChanged>[] = [];
   private readonly socket = dgram.createSocket('udp4');
   private members: decisions.MemberTable = new Map();
-  private registered: readonly entry.MemberRecord[] | undefined;
+  private registry: decisions.MemberRegistry | undefined;
+
+  /** Whether changes may have been missed since the registry's version. */
+  private isRegistryStale = true;
+  private isReading = false;
   private startedAtMs = 0;
   private operatorRowsVersion = 0;
   private upstreamRowsVersion = 0;
@@ -60,7 +70,6 @@
     knowledge.post({kind: 'subscribeOperatorRows', subscriber});
     knowledge.post({kind: 'subscribeUpstreamRows', subscriber});
     this.postEvery(PUBLISH_INTERVAL_MS, {kind: 'tick'});
-    this.postEvery(READ_INTERVAL_MS, {kind: 'readMembers'});
     this.getAddress().post({kind: 'register'});
   }
 
@@ -107,7 +116,7 @@
         this.readMembers();
         return;
       case 'membersRead':
-        this.noteMembersRead(message.reading);
+        this.noteMembersRead(message.reading, message.sentAtMs);
         return;
       case 'tick':
         this.publish();
@@ -146,34 +155,82 @@
     }
   }
 
+  /** Reads the VMs' rows, or waits for their changes: a VM that cannot read them is told by those that can. */
   private readMembers(): void {
-    if (this.isStopped) return;
+    if (this.isStopped || this.isReading) return;
+    this.isReading = true;
+    const sentAtMs = this.nowMs();
+    const {registry} = this;
     void this.getService(store.STORE)
-      .ask<store.MemberReading>(reply => ({kind: 'readMembers', reply}))
-      .then(reading => this.getAddress().post({kind: 'membersRead', reading}));
+      .ask<store.MemberReading>(reply =>
+        registry === undefined || this.isRegistryStale
+          ? {kind: 'readMembers', reply}
+          : {
+              kind: 'awaitMembers',
+              afterTableVersion: registry.tableVersion,
+              waitMs: FOLLOW_WAIT_MS,
+              reply,
+            },
+      )
+      .then(reading =>
+        this.getAddress().post({kind: 'membersRead', reading, sentAtMs}),
+      );
   }
 
-  private noteMembersRead(reading: store.MemberReading): void {
+  private noteMembersRead(
+    reading: store.MemberReading,
+    sentAtMs: number,
+  ): void {
+    this.isReading = false;
     switch (reading.kind) {
-      case 'snapshot':
-        this.registered = reading.members.filter(
-          member => member.vmId !== this.self.vmId,
-        );
-        this.sendStatus();
-        return;
+      case 'snapshot': {
+        const {tableVersion, members} = reading;
+        this.isRegistryStale = false;
+        this.setRegistry({
+          tableVersion,
+          members: new Map(members.map(member => [member.vmId, member])),
+        });
+        break;
+      }
+      case 'changes': {
+        const {tableVersion, changes} = reading;
+        // An empty wait may have missed a change, which the next one then brings.
+        if (this.registry !== undefined && changes.length > 0)
+          this.setRegistry(
+            decisions.applyMemberChanges(this.registry, tableVersion, changes),
+          );
+        break;
+      }
+      case 'historyGone':
       case 'unavailable':
-        this.postAfter(RETRY_MS, {kind: 'readMembers'});
-        return;
+        this.isRegistryStale = true;
+        break;
       default:
         errors.throwUnreachable(reading);
     }
+    const pauseMs = this.registry === undefined ? RETRY_MS : FOLLOW_INTERVAL_MS;
+    this.postAfter(Math.max(0, sentAtMs + pauseMs - this.nowMs()), {
+      kind: 'readMembers',
+    });
+  }
+
+  private setRegistry(registry: decisions.MemberRegistry): void {
+    this.registry = registry;
+    this.sendStatus();
+  }
+
+  private getRegisteredPeers(): readonly entry.MemberRecord[] {
+    return [...(this.registry?.members.values() ?? [])].filter(
+      member => member.vmId !== this.self.vmId,
+    );
   }
 
   /** Tells every peer that is registered or was heard of itself. */
   private sendStatus(): void {
     if (this.isStopped && !this.isLeaving) return;
-    const registered = this.registered ?? [];
-    const targets = new Set(registered.map(peer => peer.peersAddress));
+    const targets = new Set(
+      this.getRegisteredPeers().map(peer => peer.peersAddress),
+    );
     for (const {status} of this.members.values())
       targets.add(status.member.peersAddress);
     targets.delete(this.self.peersAddress);
@@ -231,7 +288,7 @@
         .map(known => known.status),
       serving: this.isLeaving ? serving : [this.self, ...serving],
       otherCount: this.getOtherCount(nowMs),
-      areOthersKnown: this.registered !== undefined || this.members.size > 0,
+      areOthersKnown: this.registry !== undefined || this.members.size > 0,
       isConnected: decisions.isConnected(this.members, nowMs),
     };
     for (const subscriber of this.subscribers) subscriber.post(message);
@@ -241,7 +298,7 @@
   private getOtherCount(nowMs: number): number {
     const reservedCount = decisions.getReservedCount(this.members, nowMs);
     const isYoung = nowMs < this.startedAtMs + decisions.MEMBER_SILENCE_MS;
-    const registeredCount = isYoung ? (this.registered ?? []).length : 0;
+    const registeredCount = isYoung ? this.getRegisteredPeers().length : 0;
     return Math.max(reservedCount, registeredCount);
   }
 
--- a/src/services/store/StoreAdapter.ts
+++ b/src/services/store/StoreAdapter.ts
@@ -1,3 +1,4 @@
+import type * as decisions from '../../decisions/index.js';
 import type * as entry from '../../model/entry/index.js';
 
 /** One row that an operator wrote or dropped. */
@@ -47,10 +48,20 @@
 
 /** What a reading of the entry VMs' own rows brought. */
 export type MemberReading =
+  /** All rows as of one version. */
   | {
       readonly kind: 'snapshot';
+      readonly tableVersion: number;
       readonly members: readonly entry.MemberRecord[];
     }
+  /** The rows that changed since the version that was asked for, in order. */
+  | {
+      readonly kind: 'changes';
+      readonly tableVersion: number;
+      readonly changes: readonly decisions.MemberChange[];
+    }
+  /** The changes since that version are no longer known. */
+  | {readonly kind: 'historyGone'}
   | {readonly kind: 'unavailable'; readonly reason: string};
 
 /** How a write of a row of ours ended. */
@@ -76,6 +87,13 @@
   /** Reads the rows of the entry VMs. */
   readMembers(timeoutMs: number): Promise<MemberReading>;
 
+  /** Waits up to `waitMs` for a change of the entry VMs' rows after a table version. */
+  awaitMembers(
+    afterTableVersion: number,
+    waitMs: number,
+    timeoutMs: number,
+  ): Promise<MemberReading>;
+
   /** Writes the row of an entry VM. */
   writeMember(
     member: entry.MemberRecord,
--- a/src/services/store/StoreMessage.ts
+++ b/src/services/store/StoreMessage.ts
@@ -25,6 +25,12 @@
       readonly kind: 'readMembers';
       readonly reply: kernel.Reply<adapters.MemberReading>;
     }
+  | {
+      readonly kind: 'awaitMembers';
+      readonly afterTableVersion: number;
+      readonly waitMs: number;
+      readonly reply: kernel.Reply<adapters.MemberReading>;
+    }
   | {
       readonly kind: 'writeMember';
       readonly member: entry.MemberRecord;
--- a/src/services/store/StoreTask.ts
+++ b/src/services/store/StoreTask.ts
@@ -67,6 +67,17 @@
           getUnavailable,
         );
         return;
+      case 'awaitMembers':
+        this.run(
+          adapter.awaitMembers(
+            message.afterTableVersion,
+            message.waitMs,
+            message.waitMs + ANSWER_TIMEOUT_MS,
+          ),
+          message.reply,
+          getUnavailable,
+        );
+        return;
       case 'writeMember':
         this.run(
           adapter.writeMember(message.member, ANSWER_TIMEOUT_MS),
--- a/standins/store/PublishedStore.ts
+++ b/standins/store/PublishedStore.ts
@@ -7,6 +7,8 @@
 export type StoreFault =
   | {readonly kind: 'none'}
   | {readonly kind: 'refuse'; readonly httpStatus: number}
+  /** Readings of one table are refused, and waits for its changes. */
+  | {readonly kind: 'refuseReads'; readonly table: string}
   | {readonly kind: 'reset'}
   /** Calls are never answered, and do nothing. */
   | {readonly kind: 'silence'}
@@ -36,6 +38,8 @@
   readonly Remove?: readonly RowName[];
 }
 
+const HTTP_UNAVAILABLE = 503;
+
 /** The rows that one answer holds at most. */
 const PAGE_ROWS = 500;
 
@@ -148,6 +152,10 @@
       case 'refuse':
         response.writeHead(fault.httpStatus).end();
         return;
+      case 'refuseReads':
+        if (fault.table !== table) break;
+        response.writeHead(HTTP_UNAVAILABLE).end();
+        return;
       case 'reset':
         sockets.resetSocket(request.socket);
         return;
--- a/test/platform/EntryFleet.ts
+++ b/test/platform/EntryFleet.ts
@@ -213,9 +213,9 @@
     return this.vms[index].process;
   }
 
-  /** Gets the address from which a VM calls the store. */
+  /** Gets the address from which a VM calls the store, also before it is added. */
   getVmHost(index: number): string {
-    return this.vms[index].host;
+    return getHost(index);
   }
 
   /** Waits until a VM says that it is ready. */
--- a/test/platform/refusals.test.ts
+++ b/test/platform/refusals.test.ts
@@ -8,6 +8,9 @@
 const CONFIGURATION_MS = 2500;
 const DRAIN_MS = 2500;
 
+/** The table in which VMs register. */
+const MEMBERS = 'entry-vms';
+
 const VM_COUNT = 4;
 const REFUSED_VM = 1;
 
@@ -27,9 +30,7 @@
   fault: stores.StoreFault,
   run: (fleet: fleets.EntryFleet) => Promise<void>,
 ): Promise<void> {
-  const fleet = new fleets.EntryFleet();
-  try {
-    await fleet.open();
+  await fleets.withFleet(async fleet => {
     fleet.configure(ROUTES, fleets.getSoleOrganisation('k1'));
     await fleet.addUpstream('desk');
     await fleet.addUpstream('desk', 'irbid-a');
@@ -39,24 +40,50 @@
     );
     fleet.store.setFault(fault, fleet.getVmHost(REFUSED_VM));
     await run(fleet);
-  } finally {
-    await fleet.close();
-  }
+  });
+}
+
+/** Makes a change, which must be in force at the VM that is turned away within its bound. */
+async function expectChangeInTime(fleet: fleets.EntryFleet): Promise<void> {
+  fleet.configure(ROUTES, fleets.getSoleOrganisation('k2'));
+  await timers.setTimeout(CONFIGURATION_MS);
+  const granted = await fleet.call(REFUSED_VM, {key: 'k2'});
+  earl.expect(granted.httpStatus).toEqual(200);
+  const withdrawn = await fleet.call(REFUSED_VM, {key: 'k1'});
+  earl.expect(withdrawn.httpStatus === 200).toEqual(false);
 }
 
 void test.describe('a VM that the store turns away', () => {
+  void test.it(
+    'has changes in force in time, though it has read of no other VM',
+    async () => {
+      await fleets.withFleet(async fleet => {
+        fleet.configure(ROUTES, fleets.getSoleOrganisation('k1'));
+        await fleet.addUpstream('desk');
+        await fleet.addVms(1);
+        await fleet.waitFor(() => fleet.store.getKeys(MEMBERS).length === 1);
+        fleet.store.setFault(
+          {kind: 'refuseReads', table: MEMBERS},
+          fleet.getVmHost(REFUSED_VM),
+        );
+        await fleet.addVms(1);
+        await fleet.waitFor(() => fleet.store.getKeys(MEMBERS).length === 2);
+        fleet.store.setFault(
+          {kind: 'refuse', httpStatus: 503},
+          fleet.getVmHost(REFUSED_VM),
+        );
+        await expectChangeInTime(fleet);
+      });
+    },
+  );
+
   for (const fault of FAULTS) {
     const name =
       fault.kind === 'refuse' ? `status ${fault.httpStatus}` : fault.kind;
 
     void test.it(`has changes in force in time (${name})`, async () => {
       await withRefusedVm(fault, async fleet => {
-        fleet.configure(ROUTES, fleets.getSoleOrganisation('k2'));
-        await timers.setTimeout(CONFIGURATION_MS);
-        const granted = await fleet.call(REFUSED_VM, {key: 'k2'});
-        earl.expect(granted.httpStatus).toEqual(200);
-        const withdrawn = await fleet.call(REFUSED_VM, {key: 'k1'});
-        earl.expect(withdrawn.httpStatus === 200).toEqual(false);
+        await expectChangeInTime(fleet);
       });
     });
 
