Count no outage of the store in which no entry can lapse

Callers were sent to an upstream that had left for up to 3.5 s, a second beyond the bound (DRAIN): one reading of the entries that failed counted as an outage, and what was missing in the next one was kept for another 2.1 s as if it had lapsed. A reading fails without any outage when a VM is behind by more than its timeout, or when a connection is lost.

An entry lapses after three heartbeats of silence, the last one heard at most one before a reading that has the entry. So within two heartbeats of such a reading a missing entry has left. The reach of the store now knows its last good reading, and the heartbeat comes from the settings.

--- a/src/model/entry/EntrySettings.ts
+++ b/src/model/entry/EntrySettings.ts
@@ -12,6 +12,9 @@
   /** How soon a confirmed version of the configuration is in force, in milliseconds. */
   readonly configurationMs: number;
 
+  /** How often an upstream renews its entry, in milliseconds. */
+  readonly heartbeatMs: number;
+
   /** How long a stopping process may finish its requests, in milliseconds. */
   readonly gracePeriodMs: number;
 
--- a/src/services/knowledge/KnowledgeTask.ts
+++ b/src/services/knowledge/KnowledgeTask.ts
@@ -38,10 +38,10 @@
 /** The most lines a minute about rows that cannot be read. */
 const UNREADABLE_LOG_INTERVAL_MS = 60_000;
 
-/** The bounds within which knowledge must be acted on. */
+/** The bounds within which knowledge must be acted on, and how often upstreams renew theirs. */
 export type KnowledgeBounds = Pick<
   entry.EntryBounds,
-  'drainMs' | 'configurationMs'
+  'drainMs' | 'configurationMs' | 'heartbeatMs'
 >;
 
 /** How the next news of the operators' rows is had. */
@@ -65,7 +65,7 @@
   private following: Following = {kind: 'snapshot'};
   private operatorKnownAtMs = -Infinity;
   private upstreamReadAtMs = -Infinity;
-  private reach: decisions.StoreReach = {kind: 'reached'};
+  private reach = decisions.UNREAD_STORE;
   private regainedAtMs: number | undefined;
   private view: membersService.MembersChanged | undefined;
   private isAskingPeer = false;
@@ -328,10 +328,15 @@
     readAtMs: number,
   ): void {
     if (tableVersion < this.upstreamTableVersion) return;
-    const outageEndMs = decisions.getOutageEndMs(this.reach, this.nowMs());
+    const outageEndMs = decisions.getOutageEndMs(
+      this.reach,
+      readAtMs,
+      this.bounds.heartbeatMs,
+      this.nowMs(),
+    );
     const isFirstAfterOutage = outageEndMs !== undefined;
     if (isFirstAfterOutage) this.regainedAtMs = outageEndMs;
-    this.reach = {kind: 'reached'};
+    this.reach = decisions.noteReading(readAtMs);
     this.upstreamTableVersion = tableVersion;
     this.upstreamReadAtMs = readAtMs;
     const {regainedAtMs} = this;
--- a/test/platform/EntryFleet.ts
+++ b/test/platform/EntryFleet.ts
@@ -244,6 +244,12 @@
     }
   }
 
+  /** Waits until a table is read once more, or a wait for its changes begins. */
+  async waitForRead(table: string): Promise<void> {
+    const known = this.store.getReadCount(table);
+    await this.waitFor(() => this.store.getReadCount(table) > known);
+  }
+
   /** Asks a VM which VMs a caller of a domain may use. */
   async steer(index: number, domain: string): Promise<readonly string[]> {
     const [, region] = DOMAINS.find(([name]) => name === domain) ?? ['', ''];
@@ -298,6 +304,7 @@
       `ListenAddresses.Ready=${host}:8666`,
       `ListenAddresses.Directory=${host}:8665`,
       'InternalPortRange=7220,7235',
+      'HeartbeatInterval=1500ms',
       'Bounds=Drain=2500ms,GracePeriod=6s,RetryBudgetRatio=0.2,BudgetWindow=10s,BudgetSlack=60,QuotaWindow=5s,ttl_max=5s',
       `Platform.Address=${this.storeAddress}`,
     ].join('\n');
--- a/test/platform/settings.test.ts
+++ b/test/platform/settings.test.ts
@@ -13,6 +13,7 @@
 ListenAddresses.Ready=10.1.0.7:8666
 ListenAddresses.Directory=10.1.0.7:8665
 InternalPortRange=7220,7235
+HeartbeatInterval=1200ms
 SomethingNew=with=equals
 Bounds=Drain=2500ms,GracePeriod=6s,RetryBudgetRatio=0.25,BudgetSlack=60,QuotaWindow=5s
 Platform.Address=10.200.1.7:8669
@@ -26,6 +27,7 @@
     earl.expect(entry.regions.get('aqaba-port')).toEqual('aqaba');
     earl.expect(entry.bounds.drainMs).toEqual(2500);
     earl.expect(entry.bounds.gracePeriodMs).toEqual(6000);
+    earl.expect(entry.bounds.heartbeatMs).toEqual(1200);
     earl.expect(entry.bounds.retryRatio).toEqual(0.25);
     earl.expect(entry.logLevel).toEqual('info');
   });
