End terms only once what came within them has been read

Callers of a VM that was behind by more than a call's term met upstreams that had left and missed new ones for as long as that lasted (DRAIN, CONFIG), and got 504 for answers that had come in time; the log named a store as lost that had answered. Node.js runs timers before it polls sockets, so that after a stall each term was over before the answer was read.

ReadTimer acts after the round of reading that follows its term; ReadTimeout aborts a signal then. The command line keeps plain time-outs: it does one thing at a time.

--- a/src/services/dispatch/UpstreamConnections.ts
+++ b/src/services/dispatch/UpstreamConnections.ts
@@ -126,7 +126,7 @@
   private readonly sending: Sending;
   private readonly resets: httpService.ResetWatch;
   private readonly settle: (result: SendResult) => void;
-  private readonly timer: NodeJS.Timeout;
+  private readonly timer: httpService.ReadTimer;
   private readonly chunks: Buffer[] = [];
   private readonly onAbandoned = () => this.abort({kind: 'abandoned'});
   private controller: undici.Dispatcher.DispatchController | undefined;
@@ -147,9 +147,8 @@
     this.sending = sending;
     this.resets = resets;
     this.settle = settle;
-    this.timer = setTimeout(
-      () => this.abort({kind: 'timedOut'}),
-      Math.max(0, sending.remainingMs),
+    this.timer = new httpService.ReadTimer(sending.remainingMs, () =>
+      this.abort({kind: 'timedOut'}),
     );
     sending.abandoned.addEventListener('abort', this.onAbandoned);
   }
@@ -244,7 +243,7 @@
   private finish(result: SendResult): void {
     if (this.isSettled) return;
     this.isSettled = true;
-    clearTimeout(this.timer);
+    this.timer.cancel();
     this.sending.abandoned.removeEventListener('abort', this.onAbandoned);
     this.settle(result);
   }
--- a/src/services/entry/EntryTask.ts
+++ b/src/services/entry/EntryTask.ts
@@ -211,11 +211,16 @@
       route === undefined
         ? callerDeadlineMs
         : Math.min(callerDeadlineMs, nowMs + route.timeLimitMs);
-    return await httpService.readBody(
-      incoming,
-      this.configuration?.callerLimits.maxBodyBytes,
-      AbortSignal.timeout(Math.max(0, Math.ceil(deadlineMs - nowMs))),
-    );
+    const timeout = new httpService.ReadTimeout(deadlineMs - nowMs);
+    try {
+      return await httpService.readBody(
+        incoming,
+        this.configuration?.callerLimits.maxBodyBytes,
+        timeout.signal,
+      );
+    } finally {
+      timeout.cancel();
+    }
   }
 
   /** Notes for how long a request was worked on after its caller had left. */
--- a/src/services/peers/PeersTask.ts
+++ b/src/services/peers/PeersTask.ts
@@ -116,6 +116,7 @@
   ): Promise<messages.CallResult> {
     const {kind: method, ...params} = message.request;
     const id = this.nextCallId++;
+    const timeout = new http.ReadTimeout(remainingMs);
     try {
       const response = await this.getPool(message.peersAddress).request({
         method: 'POST',
@@ -125,7 +126,7 @@
           'content-type': 'application/json',
         },
         body: JSON.stringify(jsonRpc.createJSONRPCRequest(id, method, params)),
-        signal: AbortSignal.timeout(Math.ceil(remainingMs)),
+        signal: timeout.signal,
       });
       const text = await response.body.text();
       if (response.statusCode !== HTTP_OK) return {kind: 'failed'};
@@ -133,6 +134,8 @@
     } catch (thrown) {
       const code = (thrown as {readonly code?: string}).code;
       return {kind: code === 'ECONNREFUSED' ? 'connectionRefused' : 'failed'};
+    } finally {
+      timeout.cancel();
     }
   }
 
--- a/src/services/platform/adapters/HttpPlatform.ts
+++ b/src/services/platform/adapters/HttpPlatform.ts
@@ -97,18 +97,21 @@
     path: string,
     body?: object,
   ): Promise<Exchange> {
+    const timeout = new http.ReadTimeout(ANSWER_TIMEOUT_MS);
     try {
       const response = await this.pool.request({
         method,
         path,
         headers: {'content-type': 'application/json'},
         body: body === undefined ? null : JSON.stringify(body),
-        signal: AbortSignal.timeout(ANSWER_TIMEOUT_MS),
+        signal: timeout.signal,
       });
       const text = await response.body.text();
       return {kind: 'answer', httpStatus: response.statusCode, text};
     } catch (thrown) {
       return {kind: http.isNotSent(thrown) ? 'notSent' : 'noAnswer'};
+    } finally {
+      timeout.cancel();
     }
   }
 }
--- a/src/services/upstreams/UpstreamClient.ts
+++ b/src/services/upstreams/UpstreamClient.ts
@@ -99,7 +99,7 @@
   private readonly sending: Sending;
   private readonly resets: httpService.ResetWatch;
   private readonly resolve: (result: SendResult) => void;
-  private readonly timer: NodeJS.Timeout;
+  private readonly timer: httpService.ReadTimer;
   private readonly chunks: Buffer[] = [];
   private readonly onAbandoned = () => this.abort({kind: 'abandoned'});
   private controller: undici.Dispatcher.DispatchController | undefined;
@@ -119,9 +119,8 @@
     this.sending = sending;
     this.resets = resets;
     this.resolve = resolve;
-    this.timer = setTimeout(
-      () => this.abort({kind: 'timedOut'}),
-      Math.max(0, sending.remainingMs),
+    this.timer = new httpService.ReadTimer(sending.remainingMs, () =>
+      this.abort({kind: 'timedOut'}),
     );
     sending.abandoned.addEventListener('abort', this.onAbandoned);
   }
@@ -230,7 +229,7 @@
   }
 
   private cleanUp(): void {
-    clearTimeout(this.timer);
+    this.timer.cancel();
     this.sending.abandoned.removeEventListener('abort', this.onAbandoned);
   }
 }
