Take requests for as old as the VM is behind when it reads them

LoopDelay knows since when the process is behind, by the tick that is late, and keeps that for the two rounds of reading that follow; requests are dated by it.

Test: hangs 'hands upstreams no more time than callers have left': 2979 ms handed on before, where 1800 were left of 3000.

--- a/src/services/entry/EntryMessage.ts
+++ b/src/services/entry/EntryMessage.ts
@@ -9,6 +9,7 @@
   | knowledgeService.OperatorRowsChanged
   | knowledgeService.UpstreamRowsChanged
   | membersService.MembersChanged
+  | {readonly kind: 'tick'}
   /** Whether the process takes new callers. */
   | {readonly kind: 'isReady'; readonly reply: kernel.Reply<boolean>}
   /** Asks for the VMs that a caller may use. */
--- a/src/services/entry/EntryTask.ts
+++ b/src/services/entry/EntryTask.ts
@@ -7,6 +7,7 @@
 import * as base from '../base/index.js';
 import * as httpService from '../http/index.js';
 import * as knowledgeService from '../knowledge/KnowledgeMessage.js';
+import * as load from '../load/index.js';
 import * as membersService from '../members/MembersMessage.js';
 import * as exchanges from './CallerExchange.js';
 import type * as messages from './EntryMessage.js';
@@ -43,6 +44,7 @@
     },
   );
   private readonly barrier = new httpService.ReadBarrier();
+  private delay: load.LoopDelay | undefined;
   private index: decisions.EntryIndex | undefined;
   private configuration: entry.EntryConfiguration | undefined;
   private view: membersService.MembersChanged | undefined;
@@ -72,6 +74,8 @@
 
   protected override async onStart(): Promise<void> {
     this.flow = new flows.EntryFlow(this.getContext().services);
+    this.delay = new load.LoopDelay(this.nowMs());
+    this.postEvery(load.LOOP_TICK_MS, {kind: 'tick'});
     const subscriber = this.getAddress();
     const knowledge = this.getService(knowledgeService.KNOWLEDGE);
     knowledge.post({kind: 'subscribeOperatorRows', subscriber});
@@ -110,6 +114,9 @@
       case 'membersChanged':
         this.view = message;
         return;
+      case 'tick':
+        this.delay?.noteTick(this.nowMs());
+        return;
       case 'isReady':
         message.reply(this.isReady());
         return;
@@ -157,14 +164,15 @@
     incoming: http.IncomingMessage,
     response: http.ServerResponse,
   ): Promise<void> {
-    const arrivedAtMs = this.nowMs();
+    const readAtMs = this.nowMs();
+    const arrivedAtMs = this.delay?.getArrivalMs(readAtMs) ?? readAtMs;
     const connection = this.connections.get(incoming.socket);
     const exchange = new exchanges.CallerExchange(connection, response);
     const envelope = this.options.codec.decodeRequest(incoming.rawHeaders);
     const callerDeadlineMs =
       arrivedAtMs + (envelope.remainingMs ?? DEFAULT_WAIT_MS);
     try {
-      const body = await this.readBody(incoming, callerDeadlineMs);
+      const body = await this.readBody(incoming, arrivedAtMs, callerDeadlineMs);
       await this.barrier.wait();
       const request: entry.EntryRequest = {
         requestId: envelope.requestId,
@@ -199,10 +207,10 @@
   /** Reads a request's body for no longer than its route or its caller allows. */
   private async readBody(
     incoming: http.IncomingMessage,
+    arrivedAtMs: number,
     callerDeadlineMs: number,
   ): Promise<Uint8Array> {
     if (!httpService.hasBody(incoming)) return EMPTY_BODY;
-    const nowMs = this.nowMs();
     const route = this.index?.routes.findTarget(
       incoming.headers.host ?? '',
       incoming.url ?? '/',
@@ -210,8 +218,8 @@
     const deadlineMs =
       route === undefined
         ? callerDeadlineMs
-        : Math.min(callerDeadlineMs, nowMs + route.timeLimitMs);
-    const timeout = new httpService.ReadTimeout(deadlineMs - nowMs);
+        : Math.min(callerDeadlineMs, arrivedAtMs + route.timeLimitMs);
+    const timeout = new httpService.ReadTimeout(deadlineMs - this.nowMs());
     try {
       return await httpService.readBody(
         incoming,
--- a/src/services/load/index.ts
+++ b/src/services/load/index.ts
@@ -1,2 +1,3 @@
 export * from './LoadMessage.js';
 export * from './LoadTask.js';
+export * from './LoopDelay.js';
--- a/test/platform/hangs.test.ts
+++ b/test/platform/hangs.test.ts
@@ -13,11 +13,17 @@
 const STORE_DELAY_MS = 100;
 
 const WORK_MS = 300;
+
+/** How long a caller waits, and how much more than is left of it an upstream may be handed. */
+const CALLER_WAIT_MS = 3000;
+const EXTRA_MS = 500;
+
 const HANG_COUNT = 8;
 
 const ROUTES: readonly fleets.FleetRoute[] = [
   {prefix: '/look/', kind: 'safe', service: 'desk'},
   {prefix: '/book/', kind: 'unsafe', service: 'desk'},
+  {prefix: '/wait/', kind: 'safe', service: 'desk', timeout: '5000ms'},
 ];
 
 /** Stops a VM's process for a while. */
@@ -73,6 +79,22 @@
     });
   });
 
+  void test.it(
+    'hands upstreams no more time than callers have left',
+    async () => {
+      await withVm(async (fleet, upstream) => {
+        await fleet.call(0);
+        const stopped = hang(fleet, SHORT_HANG_MS);
+        await fleet.call(0, {path: '/wait/x', waitMs: CALLER_WAIT_MS});
+        await stopped;
+        const [, run] = upstream.runs;
+        earl
+          .expect(Number(run.headers['x-request-deadline']))
+          .toBeLessThan(CALLER_WAIT_MS - SHORT_HANG_MS + EXTRA_MS);
+      });
+    },
+  );
+
   void test.it('takes no store for lost that answered in time', async () => {
     await withVm(async fleet => {
       for (const table of ['op', 'servers']) {
