--- a/src/services/http/ReadTimeout.ts
+++ b/src/services/http/ReadTimeout.ts
@@ -7,7 +7,11 @@
 
   /** @param termMs The term in milliseconds. */
   constructor(termMs: number) {
-    this.timer = new timers.ReadTimer(termMs, () => this.controller.abort());
+    this.timer = new timers.ReadTimer(termMs, () =>
+      this.controller.abort(
+        new Error(`nothing came within ${Math.round(termMs)} ms`),
+      ),
+    );
   }
 
   /** Fires when the term is over. */
