Leave regions to requests that may run nowhere else

VMs now tell bound requests by the region in which they run, and these slots are taken off the region's room for all others; a tenth of it stays.

Test: RegionBalance 'leaves a region to requests that may run nowhere else'.

--- a/src/codecs/members/memberStatus.ts
+++ b/src/codecs/members/memberStatus.ts
@@ -8,7 +8,14 @@
 /** Demands are rounded to a tenth, which is well below what they decide. */
 const DEMAND_SCALE = 10;
 
-const demandsSchema = zod.array(zod.tuple([zod.string(), zod.number().min(0)]));
+/** Busy slots, those of requests that may run in some regions only by region. */
+const demandsSchema = zod.array(
+  zod.tuple([
+    zod.string(),
+    zod.number().min(0),
+    zod.record(zod.string(), zod.number().min(0)).optional(),
+  ]),
+);
 
 /** The digest, whether the counts are complete, counts, those that leave, and tenths of demands. */
 const limitUsesSchema = zod.tuple([
@@ -53,10 +60,7 @@
     o: status.operatorRowsVersion,
     u: status.upstreamRowsVersion,
     q: encodeLimitUses(status.limitUses),
-    s: status.serviceDemands.map(demand => [
-      demand.serviceId,
-      round(demand.busySlots),
-    ]),
+    s: status.serviceDemands.map(encodeServiceDemand),
   };
   return Buffer.from(
     JSON.stringify({jsonrpc: jsonRpc.JSONRPC, method: METHOD, params}),
@@ -83,13 +87,26 @@
     operatorRowsVersion: params.o,
     upstreamRowsVersion: params.u,
     limitUses: decodeLimitUses(params.q),
-    serviceDemands: (params.s ?? []).map(([serviceId, busySlots]) => ({
+    serviceDemands: (params.s ?? []).map(([serviceId, busySlots, bound]) => ({
       serviceId,
       busySlots,
+      boundSlots: new Map(Object.entries(bound ?? {})),
     })),
   };
 }
 
+function encodeServiceDemand(
+  demand: entry.ServiceDemand,
+): zod.infer<typeof demandsSchema>[number] {
+  const {serviceId, busySlots} = demand;
+  const bound = [...demand.boundSlots]
+    .map(([region, slots]) => [region, round(slots)] as const)
+    .filter(([, slots]) => slots > 0);
+  return bound.length === 0
+    ? [serviceId, round(busySlots)]
+    : [serviceId, round(busySlots), Object.fromEntries(bound)];
+}
+
 function encodeLimitUses(
   limitUses: entry.LimitUses | undefined,
 ): zod.infer<typeof limitUsesSchema> | undefined {
--- a/src/model/entry/MemberRecord.ts
+++ b/src/model/entry/MemberRecord.ts
@@ -41,7 +41,12 @@
 /** How many slots of a service's upstreams a VM's callers keep busy. */
 export interface ServiceDemand {
   readonly serviceId: string;
+
+  /** Slots that requests keep busy which may run in any region. */
   readonly busySlots: number;
+
+  /** Slots that requests keep busy which may run in some regions only, by the region in which they run. */
+  readonly boundSlots: ReadonlyMap<string, number>;
 }
 
 /** What a VM tells its peers again and again. */
--- a/src/services/dispatch/DispatchTask.ts
+++ b/src/services/dispatch/DispatchTask.ts
@@ -270,7 +270,10 @@
     const {state} = upstream;
     const startedAtMs = this.nowMs();
     const sendId = state.addSend(startedAtMs);
-    this.balance.addInFlight(state.record.serviceId, 1, startedAtMs);
+    const {serviceId, region} = state.record;
+    const isBound = decisions.getHomeRegions(route, organisation) !== undefined;
+    const boundTo = isBound ? region : undefined;
+    this.balance.addInFlight(serviceId, boundTo, 1, startedAtMs);
     const result = await upstream.connections.send({
       request,
       headers: this.options.codec.encodeDispatch(request.headers, {
@@ -284,7 +287,7 @@
       abandoned,
     });
     const endedAtMs = this.nowMs();
-    this.balance.addInFlight(state.record.serviceId, -1, endedAtMs);
+    this.balance.addInFlight(serviceId, boundTo, -1, endedAtMs);
     this.observe('upstream_ms', endedAtMs - startedAtMs);
     if (result.kind === 'answered') state.addObject(getObjectName(dispatch));
     this.noteResult(upstream, result, endedAtMs);
--- a/src/services/dispatch/RegionBalance.ts
+++ b/src/services/dispatch/RegionBalance.ts
@@ -25,13 +25,28 @@
 
 const MS_PER_SECOND = 1000;
 
-/** Busy slots of one service, averaged over time. */
+/**
+ * The least part of a region's slots that is left to requests that may run anywhere, however many of those that
+ * may not are there.
+ */
+const MIN_FREE_PART = 0.1;
+
+/** Busy slots, averaged over time. */
 interface Busy {
   readonly inFlightCount: number;
   readonly averageSlots: number;
   readonly asOfMs: number;
 }
 
+/** Busy slots of one service. */
+interface ServiceBusy {
+  /** Those of requests that may run in any region. */
+  readonly free: Busy;
+
+  /** Those of requests that may run in some regions only, by the region in which they run. */
+  readonly bound: ReadonlyMap<string, Busy>;
+}
+
 /** A change of the shares of one service, with what decided it. */
 export interface SharesMoved {
   readonly serviceId: string;
@@ -43,7 +58,7 @@
 export class RegionBalance {
   private readonly region: string;
   private readonly register: registers.UpstreamRegister;
-  private readonly busy = new Map<string, Busy>();
+  private readonly busy = new Map<string, ServiceBusy>();
   private readonly capacities = new Map<string, ReadonlyMap<string, number>>();
   private readonly credit = new Map<string, number>();
   private updatedAtMs: number | undefined;
@@ -54,22 +69,40 @@
     this.register = register;
   }
 
-  /** Counts a request that an upstream of a service gets or has ended. */
-  addInFlight(serviceId: string, change: 1 | -1, nowMs: number): void {
-    const known = this.busy.get(serviceId);
-    const count = known?.inFlightCount ?? 0;
-    this.busy.set(serviceId, {
-      inFlightCount: count + change,
-      averageSlots: getAverage(known, nowMs),
-      asOfMs: nowMs,
-    });
+  /**
+   * Counts a request that an upstream of a service gets or has ended.
+   *
+   * @param boundTo The region in which it runs, if it may not run in all of them.
+   */
+  addInFlight(
+    serviceId: string,
+    boundTo: string | undefined,
+    change: 1 | -1,
+    nowMs: number,
+  ): void {
+    const {free, bound} = this.busy.get(serviceId) ?? IDLE_SERVICE;
+    this.busy.set(
+      serviceId,
+      boundTo === undefined
+        ? {free: addChange(free, change, nowMs), bound}
+        : {
+            free,
+            bound: new Map(bound).set(
+              boundTo,
+              addChange(bound.get(boundTo) ?? IDLE, change, nowMs),
+            ),
+          },
+    );
   }
 
   /** Gets the slots that this VM's callers keep busy. */
   getOwnDemands(): readonly entry.ServiceDemand[] {
-    return [...this.busy].map(([serviceId, busy]) => ({
+    return [...this.busy].map(([serviceId, {free, bound}]) => ({
       serviceId,
-      busySlots: busy.averageSlots,
+      busySlots: free.averageSlots,
+      boundSlots: new Map(
+        [...bound].map(([region, busy]) => [region, busy.averageSlots]),
+      ),
     }));
   }
 
@@ -86,9 +119,13 @@
       const known = this.busy.get(serviceId);
       if (known !== undefined)
         this.busy.set(serviceId, {
-          ...known,
-          averageSlots: getAverage(known, nowMs),
-          asOfMs: nowMs,
+          free: addChange(known.free, 0, nowMs),
+          bound: new Map(
+            [...known.bound].map(([region, busy]) => [
+              region,
+              addChange(busy, 0, nowMs),
+            ]),
+          ),
         });
       const move = this.updateService(serviceId, statuses, elapsedMs);
       if (move !== undefined) moves.push(move);
@@ -137,13 +174,18 @@
     statuses: readonly entry.MemberStatus[],
   ): readonly decisions.RegionLoad[] {
     const demands = new Map<string, number>();
-    const add = (region: string, slots: number) =>
-      demands.set(region, (demands.get(region) ?? 0) + slots);
-    add(this.region, this.busy.get(serviceId)?.averageSlots ?? 0);
+    const bound = new Map<string, number>();
+    const own = this.busy.get(serviceId) ?? IDLE_SERVICE;
+    add(demands, this.region, own.free.averageSlots);
+    for (const [region, busy] of own.bound)
+      add(bound, region, busy.averageSlots);
     for (const {member, serviceDemands} of statuses)
-      for (const demand of serviceDemands)
-        if (demand.serviceId === serviceId)
-          add(member.region, demand.busySlots);
+      for (const demand of serviceDemands) {
+        if (demand.serviceId !== serviceId) continue;
+        add(demands, member.region, demand.busySlots);
+        for (const [region, slots] of demand.boundSlots)
+          add(bound, region, slots);
+      }
     const capacity = [...capacities.values()].reduce((a, b) => a + b, 0);
     const regions = new Set([...capacities.keys(), this.region]);
     const prior = (FIRST_UTILISATION * capacity) / regions.size;
@@ -156,7 +198,10 @@
     return [...regions].map(region => ({
       region,
       demandSlots: trust * (demands.get(region) ?? 0) + (1 - trust) * prior,
-      capacitySlots: capacities.get(region) ?? 0,
+      capacitySlots: getFreeSlots(
+        capacities.get(region) ?? 0,
+        bound.get(region) ?? 0,
+      ),
     }));
   }
 
@@ -178,8 +223,32 @@
   }
 }
 
-function getAverage(busy: Busy | undefined, nowMs: number): number {
-  if (busy === undefined) return 0;
+const IDLE: Busy = {inFlightCount: 0, averageSlots: 0, asOfMs: 0};
+
+const IDLE_SERVICE: ServiceBusy = {free: IDLE, bound: new Map()};
+
+function add(
+  slots: Map<string, number>,
+  region: string,
+  addedSlots: number,
+): void {
+  slots.set(region, (slots.get(region) ?? 0) + addedSlots);
+}
+
+/** Gets the slots of a region that are left to requests that may run anywhere. */
+function getFreeSlots(capacitySlots: number, boundSlots: number): number {
+  return Math.max(capacitySlots * MIN_FREE_PART, capacitySlots - boundSlots);
+}
+
+function addChange(busy: Busy, change: number, nowMs: number): Busy {
+  return {
+    inFlightCount: busy.inFlightCount + change,
+    averageSlots: getAverage(busy, nowMs),
+    asOfMs: nowMs,
+  };
+}
+
+function getAverage(busy: Busy, nowMs: number): number {
   const weight = Math.exp(-(nowMs - busy.asOfMs) / DEMAND_TERM_MS);
   return busy.inFlightCount + (busy.averageSlots - busy.inFlightCount) * weight;
 }
--- a/standins/emulator/Emulation.ts
+++ b/standins/emulator/Emulation.ts
@@ -47,6 +47,7 @@
   private readonly records: readonly entry.UpstreamRecord[];
   private readonly vms: readonly Vm[];
   private readonly seconds: SecondCount[] = [];
+  private readonly boundSeconds: SecondCount[] = [];
   private statuses: readonly entry.MemberStatus[] = [];
   private nowMs = 0;
   private nextSequence = 0;
@@ -88,6 +89,11 @@
     return this.seconds;
   }
 
+  /** Gets the counts of the requests that may run in one region only. */
+  getBoundSeconds(): readonly SecondCount[] {
+    return this.boundSeconds;
+  }
+
   private getVm(region: string): Vm {
     const register = new registers.UpstreamRegister(new headers.HeaderCodec());
     register.setRecords(this.records);
@@ -163,22 +169,32 @@
     const own = this.vms.filter(vm => vm.region === region);
     const vm = own[Math.floor(this.getRandom() * own.length)];
     const startedAtMs = this.nowMs;
-    const upstreamId = this.choose(vm, objectName);
+    const {bound} = this.scenario;
+    const homeRegion =
+      bound !== undefined && this.getRandom() < bound.part
+        ? bound.region
+        : undefined;
+    const count = (outcome: Outcome) => {
+      countIn(this.seconds, startedAtMs, outcome);
+      if (homeRegion !== undefined)
+        countIn(this.boundSeconds, startedAtMs, outcome);
+    };
+    const upstreamId = this.choose(vm, objectName, homeRegion);
     const upstream =
       upstreamId === undefined ? undefined : vm.register.get(upstreamId);
     const model =
       upstreamId === undefined ? undefined : this.models.get(upstreamId);
     if (upstream === undefined || model === undefined) {
-      this.count(startedAtMs, 'refused');
+      count('refused');
       return;
     }
     const {state} = upstream;
     const oneWayMs = state.record.region === region ? NEAR_MS : FAR_MS;
     const sendId = state.addSend(startedAtMs);
-    vm.balance.addInFlight(SERVICE_ID, 1, startedAtMs);
+    vm.balance.addInFlight(SERVICE_ID, homeRegion, 1, startedAtMs);
     const finish = (end: 'done' | 'refused' | 'givenUp') =>
       this.schedule(this.nowMs + oneWayMs, () => {
-        vm.balance.addInFlight(SERVICE_ID, -1, this.nowMs);
+        vm.balance.addInFlight(SERVICE_ID, homeRegion, -1, this.nowMs);
         const load = {
           busyCount: model.busyCount,
           slotCount: state.record.slotCount,
@@ -189,7 +205,7 @@
           state.addObject(objectName);
         }
         state.endSend(sendId);
-        this.count(startedAtMs, this.getOutcome(end, startedAtMs));
+        count(this.getOutcome(end, startedAtMs));
       });
     this.schedule(startedAtMs + oneWayMs, () =>
       model.accept(
@@ -205,11 +221,15 @@
     );
   }
 
-  private choose(vm: Vm, objectName: string): string | undefined {
+  private choose(
+    vm: Vm,
+    objectName: string,
+    homeRegion: string | undefined,
+  ): string | undefined {
     const question = {
       serviceId: SERVICE_ID,
       objectName,
-      homeRegions: undefined,
+      homeRegions: homeRegion === undefined ? undefined : [homeRegion],
       random: 0,
     };
     switch (this.policy) {
@@ -263,18 +283,6 @@
     }
   }
 
-  private count(startedAtMs: number, outcome: Outcome): void {
-    const second = Math.floor(startedAtMs / MS_PER_SECOND);
-    const known = this.seconds[second] ?? NOTHING;
-    this.seconds[second] = {
-      askedCount: known.askedCount + 1,
-      inTimeCount: known.inTimeCount + (outcome === 'inTime' ? 1 : 0),
-      lateCount: known.lateCount + (outcome === 'late' ? 1 : 0),
-      refusedCount: known.refusedCount + (outcome === 'refused' ? 1 : 0),
-      failedCount: known.failedCount + (outcome === 'failed' ? 1 : 0),
-    };
-  }
-
   private scheduleEvery(intervalMs: number, action: () => void): void {
     for (let atMs = 0; atMs < this.scenario.lengthMs; atMs += intervalMs)
       this.schedule(atMs, action);
@@ -302,6 +310,22 @@
   failedCount: 0,
 };
 
+function countIn(
+  seconds: SecondCount[],
+  startedAtMs: number,
+  outcome: Outcome,
+): void {
+  const second = Math.floor(startedAtMs / MS_PER_SECOND);
+  const known = seconds[second] ?? NOTHING;
+  seconds[second] = {
+    askedCount: known.askedCount + 1,
+    inTimeCount: known.inTimeCount + (outcome === 'inTime' ? 1 : 0),
+    lateCount: known.lateCount + (outcome === 'late' ? 1 : 0),
+    refusedCount: known.refusedCount + (outcome === 'refused' ? 1 : 0),
+    failedCount: known.failedCount + (outcome === 'failed' ? 1 : 0),
+  };
+}
+
 /** Adds up the counts of some seconds. */
 export function sumSeconds(seconds: readonly SecondCount[]): SecondCount {
   return seconds.reduce(
--- a/standins/emulator/Scenario.ts
+++ b/standins/emulator/Scenario.ts
@@ -37,6 +37,14 @@
   readonly timeLimitMs: number;
   readonly vmsPerRegion: number;
   readonly lengthMs: number;
+
+  /** Requests that may run in one region only, wherever their callers are; none as a rule. */
+  readonly bound?: {
+    readonly region: string;
+
+    /** The part of all requests. */
+    readonly part: number;
+  };
   readonly events: readonly ScenarioEvent[];
 }
 
@@ -88,3 +96,11 @@
     ],
   },
 ];
+
+/** Requests of a large organisation may run only in the region with the fewest upstreams. */
+export const BOUND_SCENARIO: Scenario = {
+  ...CATALOGUE,
+  name: 'an organisation that is bound to a small region',
+  bound: {region: 'samegrelo', part: 0.15},
+  events: [],
+};
--- /dev/null
+++ b/test/services/dispatch/RegionBalance.test.ts
@@ -0,0 +1,106 @@
+import * as test from 'node:test';
+import * as earl from 'earl';
+import * as headers from '../../../platform/HeaderCodec.js';
+import * as codecs from '../../../src/codecs/members/index.js';
+import type * as entry from '../../../src/model/entry/index.js';
+import * as balances from '../../../src/services/dispatch/RegionBalance.js';
+import * as registers from '../../../src/services/dispatch/UpstreamRegister.js';
+
+const SERVICE = 'desk';
+const SLOTS = 9;
+const TICK_MS = 250;
+
+/** Long enough for shares to move by all of themselves. */
+const PLAYED_MS = 60_000;
+
+const UPSTREAM_COUNTS: ReadonlyMap<string, number> = new Map([
+  ['aqaba', 2],
+  ['irbid', 12],
+  ['amman', 10],
+]);
+
+function getRecords(): readonly entry.UpstreamRecord[] {
+  return [...UPSTREAM_COUNTS].flatMap(([region, count]) =>
+    Array.from({length: count}, (_, index) => ({
+      upstreamId: `i-${region}-${index}`,
+      serviceId: SERVICE,
+      host: '127.0.0.1',
+      port: 9,
+      region,
+      failureDomain: `${region}-a`,
+      slotCount: SLOTS,
+      state: 'ready' as const,
+      coldForMs: 0,
+      startedAtMs: 1,
+    })),
+  );
+}
+
+/** Gets what another VM of a region tells. */
+function getStatus(
+  region: string,
+  busySlots: number,
+  boundSlots: ReadonlyMap<string, number>,
+): entry.MemberStatus {
+  return {
+    member: {
+      vmId: `vm-${region}`,
+      processId: 'p',
+      region,
+      failureDomain: `${region}-a`,
+      callersAddress: 'a:1',
+      peersAddress: 'a:2',
+    },
+    isLeaving: false,
+    operatorRowsVersion: 0,
+    upstreamRowsVersion: 0,
+    limitUses: undefined,
+    serviceDemands: [{serviceId: SERVICE, busySlots, boundSlots}],
+  };
+}
+
+/** Gets the part of its region's objects that a VM in aqaba keeps there after a while. */
+function getKeptPart(boundSlots: ReadonlyMap<string, number>): number {
+  const register = new registers.UpstreamRegister(new headers.HeaderCodec());
+  register.setRecords(getRecords());
+  const balance = new balances.RegionBalance('aqaba', register);
+  const statuses = [
+    getStatus('aqaba', 8, boundSlots),
+    getStatus('irbid', 30, new Map()),
+    getStatus('amman', 30, new Map()),
+  ];
+  for (let nowMs = 0; nowMs < PLAYED_MS; nowMs += TICK_MS)
+    balance.update([SERVICE], statuses, nowMs);
+  return register.getShares(SERVICE)?.get('aqaba') ?? 0;
+}
+
+void test.describe('RegionBalance', () => {
+  void test.it(
+    'leaves a region to requests that may run nowhere else',
+    async () => {
+      earl.expect(getKeptPart(new Map())).toBeGreaterThan(0.8);
+      earl.expect(getKeptPart(new Map([['aqaba', 18]]))).toBeLessThan(0.2);
+      earl.expect(getKeptPart(new Map([['irbid', 18]]))).toBeGreaterThan(0.8);
+    },
+  );
+
+  void test.it('counts requests by the regions that they are bound to', () => {
+    const register = new registers.UpstreamRegister(new headers.HeaderCodec());
+    register.setRecords(getRecords());
+    const balance = new balances.RegionBalance('irbid', register);
+    for (let count = 0; count < 4; count++)
+      balance.addInFlight(SERVICE, 'aqaba', 1, 0);
+    balance.addInFlight(SERVICE, undefined, 1, 0);
+    balance.update([SERVICE], [], PLAYED_MS);
+    const status = {
+      ...getStatus('irbid', 0, new Map()),
+      serviceDemands: balance.getOwnDemands(),
+    };
+    const told = codecs.decodeMemberStatus(codecs.encodeMemberStatus(status));
+    earl
+      .expect(told.serviceDemands)
+      .toEqual([
+        {serviceId: SERVICE, busySlots: 1, boundSlots: new Map([['aqaba', 4]])},
+      ]);
+  });
+});
