--- a/bench/experiment/main.ts
+++ b/bench/experiment/main.ts
@@ -17,6 +17,14 @@
   return ((part * PERCENT) / Math.max(1, whole)).toFixed(1).padStart(6);
 }
 
+/** Gets the percentages of what came of requests, in the order of the heading. */
+function getParts(seconds: readonly emulations.SecondCount[]): string {
+  const sum = emulations.sumSeconds(seconds);
+  return [sum.inTimeCount, sum.lateCount, sum.refusedCount, sum.failedCount]
+    .map(count => getPercent(count, sum.askedCount))
+    .join(' ');
+}
+
 /** Plays every load pattern with every policy, prints the parts and plots them. */
 function run(): void {
   const {values} = util.parseArgs({
@@ -30,18 +38,15 @@
   process.stdout.write(
     'pattern / policy: in time, late, refused, failed in percent\n',
   );
-  for (const scenario of scenarios.SCENARIOS) {
+  for (const scenario of [...scenarios.SCENARIOS, scenarios.BOUND_SCENARIO]) {
     process.stdout.write(`${scenario.name}\n`);
     for (const policy of POLICIES) {
-      const seconds = new emulations.Emulation(scenario, policy, seed).run();
-      const sum = emulations.sumSeconds(seconds);
-      const parts = [
-        sum.inTimeCount,
-        sum.lateCount,
-        sum.refusedCount,
-        sum.failedCount,
-      ].map(count => getPercent(count, sum.askedCount));
-      process.stdout.write(`  ${policy.padEnd(12)}${parts.join(' ')}\n`);
+      const emulation = new emulations.Emulation(scenario, policy, seed);
+      const seconds = emulation.run();
+      process.stdout.write(`  ${policy.padEnd(12)}${getParts(seconds)}\n`);
+      const bound = emulation.getBoundSeconds();
+      if (bound.length > 0)
+        process.stdout.write(`    bound     ${getParts(bound)}\n`);
       series.push({
         title: scenario.name,
         label: policy,
--- a/test/decisions/placement/worstLoad.test.ts
+++ b/test/decisions/placement/worstLoad.test.ts
@@ -17,6 +17,16 @@
   return sum.inTimeCount / sum.askedCount;
 }
 
+/** Gets the part of the bound requests that their region can run if it runs nothing else, and each run is cold. */
+function getColdPart(scenario: scenarios.Scenario): number {
+  const {regions, bound, traits, coldWorkMs} = scenario;
+  const rate = regions.reduce((sum, {ratePerSecond}) => sum + ratePerSecond, 0);
+  const count =
+    regions.find(({region}) => region === bound?.region)?.upstreamCount ?? 0;
+  const runsPerSecond = (count * traits.slotCount * 1000) / coldWorkMs;
+  return runsPerSecond / (rate * (bound?.part ?? 1));
+}
+
 void test.describe('placement at the worst load', () => {
   for (const scenario of scenarios.SCENARIOS)
     void test.it(`serves in time: ${scenario.name}`, () => {
@@ -31,6 +41,21 @@
       }
     });
 
+  void test.it('gives a small region to those who are bound to it', () => {
+    const scenario = scenarios.BOUND_SCENARIO;
+    for (const seed of SEEDS) {
+      const emulation = new emulations.Emulation(scenario, 'placed', seed);
+      emulation.run();
+      const bound = emulations.sumSeconds(
+        emulation.getBoundSeconds().slice(SETTLED_FROM_S),
+      );
+      const servedCount = bound.inTimeCount + bound.lateCount;
+      earl
+        .expect(servedCount / bound.askedCount)
+        .toBeGreaterThan(getColdPart(scenario));
+    }
+  });
+
   void test.it('serves more in time than the first choice alone', () => {
     for (const scenario of scenarios.SCENARIOS) {
       let placed = 0;
