--- a/src/services/dispatch/RegionBalance.ts
+++ b/src/services/dispatch/RegionBalance.ts
@@ -25,10 +25,7 @@
 
 const MS_PER_SECOND = 1000;
 
-/**
- * The least part of a region's slots that is left to requests that may run anywhere, however many of those that
- * may not are there.
- */
+/** The least part of a region's slots that counts as room for free requests, however many bound ones run there. */
 const MIN_FREE_PART = 0.1;
 
 /** Busy slots, averaged over time. */
@@ -235,7 +232,7 @@
   slots.set(region, (slots.get(region) ?? 0) + addedSlots);
 }
 
-/** Gets the slots of a region that are left to requests that may run anywhere. */
+/** Gets the slots of a region that are left to free requests. */
 function getFreeSlots(capacitySlots: number, boundSlots: number): number {
   return Math.max(capacitySlots * MIN_FREE_PART, capacitySlots - boundSlots);
 }
