Look for a caller's close before its request is run in the daemon, too

Only the entry program looked at every socket once more in between. Where a request asks another VM for its rate first, the close came in time; open routes and organisations at home on the VM did without that.

--- a/src/services/callers/CallersTask.ts
+++ b/src/services/callers/CallersTask.ts
@@ -35,6 +35,7 @@
       this.log('info', 'callerLeft', {unanswered});
     },
   );
+  private readonly barrier = new httpService.ReadBarrier();
   private readonly keys = new Map<string, configurations.Key>();
   private configuration: configurations.Configuration =
     configurations.EMPTY_CONFIGURATION;
@@ -210,6 +211,7 @@
     const caller = connection.addRequest();
     try {
       const request = await readRequest(incoming, requestId);
+      await this.barrier.wait();
       const result = await this.run(request, caller.signal);
       await this.write(response, incoming, requestId, result);
     } catch (thrown) {
--- a/test/deployment/Requests.test.ts
+++ b/test/deployment/Requests.test.ts
@@ -11,6 +11,12 @@
 /** How long upstreams may go on with the work of a caller that has left, in milliseconds. */
 const DEPARTURE_MS = 500;
 const POLL_MS = 20;
+
+/** How long a VM hangs, in milliseconds: less than makes others take its place. */
+const HANG_MS = 300;
+
+/** Callers that leave meanwhile. */
+const GONE_COUNT = 16;
 const OTHER_KEY = deploymentPlans.getKey('telavi');
 
 const deployment = new deployments.Deployment(
@@ -106,6 +112,36 @@
     },
   );
 
+  void test.it(
+    'are not run for callers that left while the VM hung',
+    async () => {
+      const {process} = deployment.getVmOrThrow('vm-0');
+      const [host, port] = deployment.getCallersAddress('vm-0').split(':');
+      // From here on the VM has connections to all upstreams.
+      await Promise.all(
+        Array.from({length: GONE_COUNT}, () =>
+          deployment.request('vm-0', '/public/before?ms=50'),
+        ),
+      );
+      process.signal('SIGSTOP');
+      await Promise.all(
+        Array.from({length: GONE_COUNT}, async () => {
+          const socket = net.connect(Number(port), host);
+          await new Promise<void>(resolve =>
+            socket.end('GET /public/gone HTTP/1.1\r\nhost: a\r\n\r\n', resolve),
+          );
+        }),
+      );
+      await timers.setTimeout(HANG_MS);
+      process.signal('SIGCONT');
+      // Their answers show that the VM has got round to all that came before.
+      for (const target of ['/public/after', '/public/last'])
+        await deployment.request('vm-0', target);
+      earl.expect((await getRunsOf('/public/last')).length).toEqual(1);
+      earl.expect(await getRunsOf('/public/gone')).toEqual([]);
+    },
+  );
+
   void test.it("run only for the key's organisation", async () => {
     const forged = {'x-bramleyrun-organisation': 'telavi'};
     await deployment.request('vm-0', '/look-up/own', {
