Measure the delay of the event loop in one place; one set of records for tests

The entry and the load service each ran a tick to know how late timers fire. The entry service, which dates requests by it, logs and counts it now (loopDelayed, loop_delay_ms), from its own start on; the load service is gone.

--- a/src/programs/entry/EntryDaemon.ts
+++ b/src/programs/entry/EntryDaemon.ts
@@ -59,7 +59,6 @@
       .add(services.METRICS, new services.MetricsTask(settings.metrics), [
         services.LOG,
       ])
-      .add(services.LOAD, new services.LoadTask(), [services.METRICS])
       .add(services.STORE, new services.StoreTask(adapters.store), [
         services.METRICS,
       ])
--- a/src/services/dispatch/RegionBalance.ts
+++ b/src/services/dispatch/RegionBalance.ts
@@ -115,15 +115,7 @@
     for (const serviceId of serviceIds) {
       const known = this.busy.get(serviceId);
       if (known !== undefined)
-        this.busy.set(serviceId, {
-          free: addChange(known.free, 0, nowMs),
-          bound: new Map(
-            [...known.bound].map(([region, busy]) => [
-              region,
-              addChange(busy, 0, nowMs),
-            ]),
-          ),
-        });
+        this.busy.set(serviceId, getBusyAt(known, nowMs));
       const move = this.updateService(serviceId, statuses, elapsedMs);
       if (move !== undefined) moves.push(move);
     }
@@ -237,6 +229,16 @@
   return Math.max(capacitySlots * MIN_FREE_PART, capacitySlots - boundSlots);
 }
 
+/** Averages the busy slots of a service up to now. */
+function getBusyAt({free, bound}: ServiceBusy, nowMs: number): ServiceBusy {
+  return {
+    free: addChange(free, 0, nowMs),
+    bound: new Map(
+      [...bound].map(([region, busy]) => [region, addChange(busy, 0, nowMs)]),
+    ),
+  };
+}
+
 function addChange(busy: Busy, change: number, nowMs: number): Busy {
   return {
     inFlightCount: busy.inFlightCount + change,
--- a/src/services/entry/EntryTask.ts
+++ b/src/services/entry/EntryTask.ts
@@ -7,11 +7,11 @@
 import * as base from '../base/index.js';
 import * as httpService from '../http/index.js';
 import * as knowledgeService from '../knowledge/KnowledgeMessage.js';
-import * as load from '../load/index.js';
 import * as membersService from '../members/MembersMessage.js';
 import * as exchanges from './CallerExchange.js';
 import type * as messages from './EntryMessage.js';
 import * as flows from './EntryFlow.js';
+import * as delays from './LoopDelay.js';
 
 /** How long in milliseconds a caller waits that says nothing of it. */
 const DEFAULT_WAIT_MS = 60_000;
@@ -25,6 +25,9 @@
 /** Time in milliseconds that is left of the grace period for closing. */
 const CLOSE_MS = 700;
 
+/** The delay of the event loop in milliseconds from which it is logged: it takes callers' time. */
+const LOGGED_DELAY_MS = 100;
+
 /** What the entry service is told when it is made. */
 export interface EntryOptions {
   readonly address: entry.SocketAddress;
@@ -44,7 +47,7 @@
     },
   );
   private readonly barrier = new httpService.ReadBarrier();
-  private delay: load.LoopDelay | undefined;
+  private delay: delays.LoopDelay | undefined;
   private index: decisions.EntryIndex | undefined;
   private configuration: entry.EntryConfiguration | undefined;
   private view: membersService.MembersChanged | undefined;
@@ -74,8 +77,8 @@
 
   protected override async onStart(): Promise<void> {
     this.flow = new flows.EntryFlow(this.getContext().services);
-    this.delay = new load.LoopDelay(this.nowMs());
-    this.postEvery(load.LOOP_TICK_MS, {kind: 'tick'});
+    this.delay = new delays.LoopDelay(this.nowMs());
+    this.postEvery(delays.LOOP_TICK_MS, {kind: 'tick'});
     const subscriber = this.getAddress();
     const knowledge = this.getService(knowledgeService.KNOWLEDGE);
     knowledge.post({kind: 'subscribeOperatorRows', subscriber});
@@ -115,7 +118,7 @@
         this.view = message;
         return;
       case 'tick':
-        this.delay?.noteTick(this.nowMs());
+        this.measureDelay();
         return;
       case 'isReady':
         message.reply(this.isReady());
@@ -130,6 +133,14 @@
     }
   }
 
+  /** Measures how far the process is behind. */
+  private measureDelay(): void {
+    const delayMs = this.delay?.noteTick(this.nowMs()) ?? 0;
+    this.observe('loop_delay_ms', delayMs);
+    if (delayMs >= LOGGED_DELAY_MS)
+      this.log('warn', 'loopDelayed', {delayMs: Math.round(delayMs)});
+  }
+
   private isReady(): boolean {
     return (
       this.configuration !== undefined && this.hasUpstreams && !this.isLeaving
--- a/src/services/index.ts
+++ b/src/services/index.ts
@@ -6,7 +6,6 @@
 export * from './fleet/index.js';
 export * from './knowledge/index.js';
 export * from './limits/index.js';
-export * from './load/index.js';
 export * from './logs/index.js';
 export * from './members/index.js';
 export * from './metrics/index.js';
--- a/src/services/knowledge/KnowledgeTask.ts
+++ b/src/services/knowledge/KnowledgeTask.ts
@@ -38,7 +38,7 @@
 /** The most lines a minute about rows that cannot be read. */
 const UNREADABLE_LOG_INTERVAL_MS = 60_000;
 
-/** The bounds within which knowledge must be acted on, and how often upstreams renew theirs. */
+/** The bounds within which knowledge must be acted on, and how often upstreams renew their entries. */
 export type KnowledgeBounds = Pick<
   entry.EntryBounds,
   'drainMs' | 'configurationMs' | 'heartbeatMs'
--- a/src/services/load/index.ts
+++ /dev/null
@@ -1,3 +0,0 @@
-export * from './LoadMessage.js';
-export * from './LoadTask.js';
-export * from './LoopDelay.js';
--- a/standins/emulator/Emulation.ts
+++ b/standins/emulator/Emulation.ts
@@ -5,6 +5,7 @@
 import * as errors from '../../src/model/errors/index.js';
 import * as balances from '../../src/services/dispatch/RegionBalance.js';
 import * as registers from '../../src/services/dispatch/UpstreamRegister.js';
+import * as records from '../../test/support/records/index.js';
 import * as queues from '../../test/support/virtual/EventQueue.js';
 import type * as scenarios from './Scenario.js';
 import * as models from './UpstreamModel.js';
@@ -129,21 +130,12 @@
   }
 
   private exchangeStatuses(): void {
-    this.statuses = this.vms.map(({region, balance}, index) => ({
-      member: {
-        vmId: `vm-${index}`,
-        processId: '',
-        region,
-        failureDomain: region,
-        callersAddress: '',
-        peersAddress: '',
-      },
-      isLeaving: false,
-      operatorRowsVersion: 0,
-      upstreamRowsVersion: 0,
-      limitUses: undefined,
-      serviceDemands: balance.getOwnDemands(),
-    }));
+    this.statuses = this.vms.map(({region, balance}, index) =>
+      records.getMemberStatus(
+        records.getMemberRecord(`vm-${index}`, {region}),
+        {serviceDemands: balance.getOwnDemands()},
+      ),
+    );
   }
 
   private scheduleArrival(
@@ -344,17 +336,13 @@
   scenario: scenarios.Scenario,
 ): readonly entry.UpstreamRecord[] {
   return scenario.regions.flatMap(({region, upstreamCount}) =>
-    Array.from({length: upstreamCount}, (_, index) => ({
-      upstreamId: `i-${region}-${index}`,
-      serviceId: SERVICE_ID,
-      host: '127.0.0.1',
-      port: 9,
-      region,
-      failureDomain: `${region}-${index % 2 === 0 ? 'a' : 'b'}`,
-      slotCount: scenario.traits.slotCount,
-      state: 'ready' as const,
-      coldForMs: 0,
-      startedAtMs: 1,
-    })),
+    Array.from({length: upstreamCount}, (_, index) =>
+      records.getUpstreamRecord(`i-${region}-${index}`, {
+        serviceId: SERVICE_ID,
+        region,
+        failureDomain: `${region}-${index % 2 === 0 ? 'a' : 'b'}`,
+        slotCount: scenario.traits.slotCount,
+      }),
+    ),
   );
 }
--- a/test/decisions/discovery/discovery.test.ts
+++ b/test/decisions/discovery/discovery.test.ts
@@ -2,21 +2,7 @@
 import * as earl from 'earl';
 import * as decisions from '../../../src/decisions/index.js';
 import type * as entry from '../../../src/model/entry/index.js';
-
-function getRecord(upstreamId: string): entry.UpstreamRecord {
-  return {
-    upstreamId,
-    serviceId: 'desk',
-    host: '127.0.0.1',
-    port: 9,
-    region: 'amman',
-    failureDomain: 'amman-a',
-    slotCount: 3,
-    state: 'ready',
-    coldForMs: 0,
-    startedAtMs: 1,
-  };
-}
+import * as records from '../../support/records/index.js';
 
 function getConfiguration(version: number): entry.EntryConfiguration {
   return {
@@ -39,7 +25,7 @@
     decisions.mergeUpstreams(
       known,
       {
-        records: ids.map(getRecord),
+        records: ids.map(id => records.getUpstreamRecord(id)),
         isFirstAfterOutage: nowMs === regainedAtMs,
         regainedAtMs,
       },
--- a/test/decisions/membership/MemberRegistry.test.ts
+++ b/test/decisions/membership/MemberRegistry.test.ts
@@ -1,39 +1,28 @@
 import * as test from 'node:test';
 import * as earl from 'earl';
 import * as decisions from '../../../src/decisions/index.js';
-import type * as entry from '../../../src/model/entry/index.js';
-
-function getMember(vmId: string, processId = 'p'): entry.MemberRecord {
-  return {
-    vmId,
-    processId,
-    region: 'x',
-    failureDomain: 'x-1',
-    callersAddress: `${vmId}:1`,
-    peersAddress: `${vmId}:2`,
-  };
-}
+import * as records from '../../support/records/index.js';
 
 void test.describe('applyMemberChanges', () => {
   const known: decisions.MemberRegistry = {
     tableVersion: 3,
     members: new Map([
-      ['a', getMember('a')],
-      ['b', getMember('b')],
+      ['a', records.getMemberRecord('a')],
+      ['b', records.getMemberRecord('b')],
     ]),
   };
 
   void test.it('adds, replaces and removes VMs', () => {
     const changed = decisions.applyMemberChanges(known, 7, [
-      {kind: 'written', member: getMember('a', 'q')},
+      {kind: 'written', member: records.getMemberRecord('a', {processId: 'q'})},
       {kind: 'removed', vmId: 'b'},
-      {kind: 'written', member: getMember('c')},
+      {kind: 'written', member: records.getMemberRecord('c')},
     ]);
     earl.expect(changed).toEqual({
       tableVersion: 7,
       members: new Map([
-        ['a', getMember('a', 'q')],
-        ['c', getMember('c')],
+        ['a', records.getMemberRecord('a', {processId: 'q'})],
+        ['c', records.getMemberRecord('c')],
       ]),
     });
     earl.expect(known.members.size).toEqual(2);
@@ -42,11 +31,13 @@
   void test.it('applies changes of one VM in their order', () => {
     const restarted = decisions.applyMemberChanges(known, 7, [
       {kind: 'removed', vmId: 'a'},
-      {kind: 'written', member: getMember('a', 'q')},
+      {kind: 'written', member: records.getMemberRecord('a', {processId: 'q'})},
     ]);
-    earl.expect(restarted.members.get('a')).toEqual(getMember('a', 'q'));
+    earl
+      .expect(restarted.members.get('a'))
+      .toEqual(records.getMemberRecord('a', {processId: 'q'}));
     const left = decisions.applyMemberChanges(known, 7, [
-      {kind: 'written', member: getMember('c')},
+      {kind: 'written', member: records.getMemberRecord('c')},
       {kind: 'removed', vmId: 'c'},
     ]);
     earl.expect([...left.members.keys()]).toEqual(['a', 'b']);
--- a/test/decisions/membership/MemberTable.test.ts
+++ b/test/decisions/membership/MemberTable.test.ts
@@ -2,6 +2,7 @@
 import * as earl from 'earl';
 import * as decisions from '../../../src/decisions/index.js';
 import type * as entry from '../../../src/model/entry/index.js';
+import * as records from '../../support/records/index.js';
 
 function getStatus(
   vmId: string,
@@ -9,21 +10,10 @@
   isLeaving = false,
 ): entry.MemberStatus {
   const region = failureDomain.split('-')[0];
-  return {
-    member: {
-      vmId,
-      processId: 'p',
-      region,
-      failureDomain,
-      callersAddress: `${vmId}:1`,
-      peersAddress: `${vmId}:2`,
-    },
-    isLeaving,
-    operatorRowsVersion: 0,
-    upstreamRowsVersion: 0,
-    limitUses: undefined,
-    serviceDemands: [],
-  };
+  return records.getMemberStatus(
+    records.getMemberRecord(vmId, {region, failureDomain}),
+    {isLeaving},
+  );
 }
 
 function getIds(members: readonly entry.MemberRecord[]): readonly string[] {
--- a/test/deployment/Requests.test.ts
+++ b/test/deployment/Requests.test.ts
@@ -115,7 +115,7 @@
   void test.it(
     'are not run for callers that left while the VM hung',
     async () => {
-      const {process} = deployment.getVmOrThrow('vm-0');
+      const vm = deployment.getVmOrThrow('vm-0');
       const [host, port] = deployment.getCallersAddress('vm-0').split(':');
       // From here on the VM has connections to all upstreams.
       await Promise.all(
@@ -123,7 +123,7 @@
           deployment.request('vm-0', '/public/before?ms=50'),
         ),
       );
-      process.signal('SIGSTOP');
+      vm.process.signal('SIGSTOP');
       await Promise.all(
         Array.from({length: GONE_COUNT}, async () => {
           const socket = net.connect(Number(port), host);
@@ -133,7 +133,7 @@
         }),
       );
       await timers.setTimeout(HANG_MS);
-      process.signal('SIGCONT');
+      vm.process.signal('SIGCONT');
       // Their answers show that the VM has got round to all that came before.
       for (const target of ['/public/after', '/public/last'])
         await deployment.request('vm-0', target);
--- a/test/platform/entry.test.ts
+++ b/test/platform/entry.test.ts
@@ -11,7 +11,7 @@
   {name: 'rustavi', keys: ['k1'], ratePerSecond: 0},
 ];
 
-/** Runs a test over a fleet that is ended in any case. */
+/** Runs a test over a fleet with two upstreams and some VMs. */
 async function withServingFleet(
   vmCount: number,
   run: (fleet: fleets.EntryFleet) => Promise<void>,
--- a/test/platform/hangs.test.ts
+++ b/test/platform/hangs.test.ts
@@ -4,7 +4,7 @@
 import type * as upstreams from '../../standins/store/PublishedUpstream.js';
 import * as fleets from './EntryFleet.js';
 
-/** Longer than the store's answers and the work of upstreams are waited for. */
+/** Longer than the store's answers are waited for; the long one, longer than upstreams' answers are, too. */
 const SHORT_HANG_MS = 1200;
 const LONG_HANG_MS = 2000;
 
@@ -33,6 +33,7 @@
   fleet.getProcess(0).signal('SIGCONT');
 }
 
+/** Runs a test over one VM and an upstream. */
 async function withVm(
   run: (
     fleet: fleets.EntryFleet,
--- a/test/services/dispatch/RegionBalance.test.ts
+++ b/test/services/dispatch/RegionBalance.test.ts
@@ -5,6 +5,7 @@
 import type * as entry from '../../../src/model/entry/index.js';
 import * as balances from '../../../src/services/dispatch/RegionBalance.js';
 import * as registers from '../../../src/services/dispatch/UpstreamRegister.js';
+import * as records from '../../support/records/index.js';
 
 const SERVICE = 'desk';
 const SLOTS = 9;
@@ -21,18 +22,14 @@
 
 function getRecords(): readonly entry.UpstreamRecord[] {
   return [...UPSTREAM_COUNTS].flatMap(([region, count]) =>
-    Array.from({length: count}, (_, index) => ({
-      upstreamId: `i-${region}-${index}`,
-      serviceId: SERVICE,
-      host: '127.0.0.1',
-      port: 9,
-      region,
-      failureDomain: `${region}-a`,
-      slotCount: SLOTS,
-      state: 'ready' as const,
-      coldForMs: 0,
-      startedAtMs: 1,
-    })),
+    Array.from({length: count}, (_, index) =>
+      records.getUpstreamRecord(`i-${region}-${index}`, {
+        serviceId: SERVICE,
+        region,
+        failureDomain: `${region}-a`,
+        slotCount: SLOTS,
+      }),
+    ),
   );
 }
 
@@ -42,21 +39,10 @@
   busySlots: number,
   boundSlots: ReadonlyMap<string, number>,
 ): entry.MemberStatus {
-  return {
-    member: {
-      vmId: `vm-${region}`,
-      processId: 'p',
-      region,
-      failureDomain: `${region}-a`,
-      callersAddress: 'a:1',
-      peersAddress: 'a:2',
-    },
-    isLeaving: false,
-    operatorRowsVersion: 0,
-    upstreamRowsVersion: 0,
-    limitUses: undefined,
-    serviceDemands: [{serviceId: SERVICE, busySlots, boundSlots}],
-  };
+  return records.getMemberStatus(
+    records.getMemberRecord(`vm-${region}`, {region}),
+    {serviceDemands: [{serviceId: SERVICE, busySlots, boundSlots}]},
+  );
 }
 
 /** Gets the part of its region's objects that a VM in aqaba keeps there after a while. */
@@ -75,14 +61,11 @@
 }
 
 void test.describe('RegionBalance', () => {
-  void test.it(
-    'leaves a region to requests that may run nowhere else',
-    async () => {
-      earl.expect(getKeptPart(new Map())).toBeGreaterThan(0.8);
-      earl.expect(getKeptPart(new Map([['aqaba', 18]]))).toBeLessThan(0.2);
-      earl.expect(getKeptPart(new Map([['irbid', 18]]))).toBeGreaterThan(0.8);
-    },
-  );
+  void test.it('leaves a region to requests that may run nowhere else', () => {
+    earl.expect(getKeptPart(new Map())).toBeGreaterThan(0.8);
+    earl.expect(getKeptPart(new Map([['aqaba', 18]]))).toBeLessThan(0.2);
+    earl.expect(getKeptPart(new Map([['irbid', 18]]))).toBeGreaterThan(0.8);
+  });
 
   void test.it('counts requests by the regions that they are bound to', () => {
     const register = new registers.UpstreamRegister(new headers.HeaderCodec());
--- a/test/services/dispatch/UpstreamRegister.test.ts
+++ b/test/services/dispatch/UpstreamRegister.test.ts
@@ -1,30 +1,11 @@
 import * as test from 'node:test';
 import * as earl from 'earl';
-import type * as entry from '../../../src/model/entry/index.js';
 import * as registers from '../../../src/services/dispatch/UpstreamRegister.js';
 import * as headers from '../../../platform/HeaderCodec.js';
+import * as records from '../../support/records/index.js';
 
 const OBJECT_COUNT = 60;
 
-function getRecord(
-  upstreamId: string,
-  change: Partial<entry.UpstreamRecord> = {},
-): entry.UpstreamRecord {
-  return {
-    upstreamId,
-    serviceId: 'desk',
-    host: '127.0.0.1',
-    port: 9,
-    region: 'amman',
-    failureDomain: 'amman-a',
-    slotCount: 3,
-    state: 'ready',
-    coldForMs: 0,
-    startedAtMs: 1,
-    ...change,
-  };
-}
-
 function getFirsts(
   register: registers.UpstreamRegister,
 ): ReadonlyMap<string, number> {
@@ -45,8 +26,10 @@
   void test.it('ranks regions that shares do not name last', async () => {
     // Shares that were worked out while only one region had registered named that region alone.
     const register = new registers.UpstreamRegister(new headers.HeaderCodec());
-    const near = ['a', 'b', 'c'].map(id => getRecord(id));
-    const far = ['x', 'y'].map(id => getRecord(id, {region: 'irbid'}));
+    const near = ['a', 'b', 'c'].map(id => records.getUpstreamRecord(id));
+    const far = ['x', 'y'].map(id =>
+      records.getUpstreamRecord(id, {region: 'irbid'}),
+    );
     register.setRecords([...near, ...far]);
     register.setShares('desk', new Map([['amman', 1]]));
     const firsts = getFirsts(register);
@@ -61,9 +44,9 @@
         new headers.HeaderCodec(),
       );
       register.setRecords([
-        getRecord('a'),
-        getRecord('b', {failureDomain: 'amman-b'}),
-        getRecord('c', {state: 'draining'}),
+        records.getUpstreamRecord('a'),
+        records.getUpstreamRecord('b', {failureDomain: 'amman-b'}),
+        records.getUpstreamRecord('c', {state: 'draining'}),
       ]);
       earl.expect([...getFirsts(register).keys()].sort()).toEqual(['a', 'b']);
       register.setEvacuated(['amman-a']);
@@ -80,9 +63,11 @@
       const register = new registers.UpstreamRegister(
         new headers.HeaderCodec(),
       );
-      register.setRecords([getRecord('a')]);
+      register.setRecords([records.getUpstreamRecord('a')]);
       register.get('a')?.state.setMisdirected();
-      const events = register.setRecords([getRecord('a', {startedAtMs: 2})]);
+      const events = register.setRecords([
+        records.getUpstreamRecord('a', {startedAtMs: 2}),
+      ]);
       earl.expect(events.map(event => event.kind)).toEqual(['added']);
       earl
         .expect(register.get('a')?.state.getView('', 'amman', 0, 0).isOpen)
--- /dev/null
+++ b/test/support/records/index.ts
@@ -0,0 +1,3 @@
+export * from './getMemberRecord.js';
+export * from './getMemberStatus.js';
+export * from './getUpstreamRecord.js';
