End an answer without end when a write of it fails

The stand-in upstream writes each piece of an endless answer from the callback of the one before and ignored the callback's error. A failed write calls back before its socket is destroyed, and what is written within that call joins the same queue of failed writes: Node.js goes on failing it in one turn, for ever. It needs a reset while a piece waits for a full buffer. The class is an error that is swallowed; StoreClient.test.ts had the same loop.

Change: one function, writeWithoutEnd, stops at the first error; both use it. No code of the programs is concerned: none of their writes goes on from a callback.

--- a/standins/store/PublishedUpstream.ts
+++ b/standins/store/PublishedUpstream.ts
@@ -1,6 +1,7 @@
 import * as http from 'node:http';
 import type * as net from 'node:net';
 import * as sockets from '../proxy/resetSocket.js';
+import * as streams from './writeWithoutEnd.js';
 
 /** How an upstream treats the requests that reach it. */
 export type UpstreamMode =
@@ -197,12 +198,10 @@
     head: string,
     piece: string | Buffer,
   ): void {
-    const write = () => {
-      if (socket.destroyed) return;
+    socket.write(head);
+    streams.writeWithoutEnd(socket, piece, () => {
       this.endlessBytes += piece.length;
-      socket.write(piece, write);
-    };
-    socket.write(head, write);
+    });
   }
 
   private answer(
--- a/test/platform/StoreClient.test.ts
+++ b/test/platform/StoreClient.test.ts
@@ -3,6 +3,7 @@
 import * as test from 'node:test';
 import * as earl from 'earl';
 import * as clients from '../../platform/StoreClient.js';
+import * as streams from '../../standins/store/writeWithoutEnd.js';
 
 /** The most bytes that may be taken of an answer that never ends. */
 const MAX_TAKEN_BYTES = 32 * 1024 * 1024;
@@ -13,12 +14,9 @@
   void test.it('gives up an answer that does not end', async () => {
     let writtenBytes = 0;
     const server = http.createServer((_, response) => {
-      const write = () => {
-        if (response.destroyed) return;
+      streams.writeWithoutEnd(response, PIECE, () => {
         writtenBytes += PIECE.length;
-        response.write(PIECE, write);
-      };
-      write();
+      });
     });
     await new Promise<void>(resolve =>
       server.listen(0, '127.0.0.1', () => resolve()),
