Count truncated work of the stand-in upstream once

Cause: in mode truncate the work was counted as ended when it was answered and again when the connection closed, so that the stand-in took more requests than it has slots and reported a load below zero, which VMs cannot read: they were without load reports of it from then on, in each run of the tests that truncate.

Change: work that has been answered is not counted again.

--- a/standins/upstream/main.ts
+++ b/standins/upstream/main.ts
@@ -85,8 +85,10 @@
   if (url.pathname.endsWith('/crash')) process.exit(1);
   const isCold = Date.now() - startedAtMs < coldMs;
   const wantedMs = Number(url.searchParams.get('ms') ?? serviceMs);
+  let isFinished = false;
   const timer = setTimeout(
     () => {
+      isFinished = true;
       record(work, 'finished');
       answer(work, url);
       next();
@@ -94,7 +96,7 @@
     isCold ? wantedMs * 4 : wantedMs,
   );
   response.once('close', () => {
-    if (response.writableEnded) return;
+    if (isFinished) return;
     clearTimeout(timer);
     record(work, 'cancelled');
     next();
