Try an upstream that failed once it reports again and no other is left

Cause: an upstream was left out by time alone, also when that left none.

Change: when all upstreams of a service are left out, one that reported its load since its failure gets a single request as a trial; an answer takes it in again. Those that shed get nothing meanwhile. The union Avoidance says which it is. A load report that cannot be read is logged; it was dropped without a line, which hid the fault of the stand-in.

--- a/bench/capacity/main.ts
+++ b/bench/capacity/main.ts
@@ -316,7 +316,7 @@
         slotCount: 7,
         ownInFlightCount: 1,
         report: {busyCount: 3, ownInFlightCount: 1, askedAtMs: 0},
-        avoidUntilMs: 0,
+        avoidance: {kind: 'none'},
         warmingSinceMs: 0,
       }),
     );
--- a/src/decisions/upstreams/UpstreamView.ts
+++ b/src/decisions/upstreams/UpstreamView.ts
@@ -1,3 +1,5 @@
+import type * as avoidances from './Avoidance.js';
+
 /** How far an upstream is from the deciding process. */
 export type Distance = 'sameDomain' | 'sameRegion' | 'otherRegion';
 
@@ -25,8 +27,8 @@
 
   readonly report: LoadReport | undefined;
 
-  /** Monotonic time in milliseconds until which it gets nothing, after failures seen here. */
-  readonly avoidUntilMs: number;
+  /** Whether it is left out, after what this process saw there. */
+  readonly avoidance: avoidances.Avoidance;
 
   /** Monotonic time in milliseconds at which it was first seen to take work. */
   readonly warmingSinceMs: number;
--- a/src/decisions/upstreams/chooseUpstream.ts
+++ b/src/decisions/upstreams/chooseUpstream.ts
@@ -1,3 +1,4 @@
+import * as avoidances from './Avoidance.js';
 import * as loads from './getLoad.js';
 import type * as views from './UpstreamView.js';
 
@@ -34,29 +35,51 @@
   'otherRegion',
 ];
 
-/** Chooses an upstream: near ones first, and of two random ones the less loaded. */
+/**
+ * Chooses an upstream: near ones first, and of two random ones the less loaded. When all are left out, one that could be
+ * reached since its failure gets a single request as a trial.
+ */
 export function chooseUpstream(
   upstreams: readonly views.UpstreamView[],
   input: ChoiceInput,
   nowMs: number,
 ): UpstreamChoice {
-  const usable = upstreams.filter(
-    view =>
-      view.avoidUntilMs <= nowMs && !input.triedIds.includes(view.upstreamId),
+  const untried = upstreams.filter(
+    view => !input.triedIds.includes(view.upstreamId),
   );
+  const open = untried.filter(
+    view => !avoidances.isAvoided(view.avoidance, nowMs),
+  );
+  const usable = open.length > 0 ? open : untried.filter(mayBeTried);
   if (usable.length === 0) return {kind: 'none'};
   for (const distance of DISTANCES) {
     const near = usable.filter(view => view.distance === distance);
-    const open =
+    const candidates =
       distance === 'otherRegion'
         ? getSpillCandidates(near, input.chooserCount, nowMs)
         : near;
-    const best = getLessLoaded(open, input, nowMs);
+    const best = getLessLoaded(candidates, input, nowMs);
     if (best && loads.getUtilisation(best, nowMs) < 1) return choose(best);
   }
   return chooseQueue(usable, nowMs);
 }
 
+/** Whether an upstream that is left out may get one request: it reported since its failure, and nothing is under way. */
+function mayBeTried(view: views.UpstreamView): boolean {
+  const {avoidance, ownInFlightCount, report} = view;
+  switch (avoidance.kind) {
+    case 'none':
+    case 'shed':
+      return false;
+    case 'failed':
+      return (
+        ownInFlightCount === 0 &&
+        report !== undefined &&
+        report.askedAtMs > avoidance.failedAtMs
+      );
+  }
+}
+
 /** Chooses the shortest queue at home when no slot is free. */
 function chooseQueue(
   usable: readonly views.UpstreamView[],
--- a/src/services/logs/EventName.ts
+++ b/src/services/logs/EventName.ts
@@ -14,6 +14,7 @@
   | 'claimWithdrawn'
   | 'outcomeStored'
   | 'upstreamAvoided'
+  | 'loadReportUnreadable'
   | 'requestSuspected'
   | 'requestAdmitted'
   | 'requestRefused'
--- a/src/services/upstreams/UpstreamTable.ts
+++ b/src/services/upstreams/UpstreamTable.ts
@@ -88,7 +88,11 @@
   addSuccess(upstreamId: string, nowMs: number): void {
     const entry = this.byId.get(upstreamId);
     if (entry === undefined || entry.failureCount === 0) return;
-    const view = {...entry.view, avoidUntilMs: nowMs, warmingSinceMs: nowMs};
+    const view: decisions.UpstreamView = {
+      ...entry.view,
+      avoidance: {kind: 'none'},
+      warmingSinceMs: nowMs,
+    };
     this.byId.set(upstreamId, {...entry, failureCount: 0, view});
   }
 
@@ -100,16 +104,23 @@
         MAX_AVOIDANCE_MS,
         FIRST_AVOIDANCE_MS * 2 ** (failureCount - 1),
       );
-      const view = {...entry.view, avoidUntilMs: nowMs + avoidanceMs};
-      return {...entry, failureCount, view};
+      const avoidance: decisions.Avoidance = {
+        kind: 'failed',
+        untilMs: nowMs + avoidanceMs,
+        failedAtMs: nowMs,
+      };
+      return {...entry, failureCount, view: {...entry.view, avoidance}};
     });
   }
 
   /** Leaves an upstream that shed a request out for a moment. */
   addShed(upstreamId: string, nowMs: number): void {
     this.change(upstreamId, entry => {
-      const avoidUntilMs = nowMs + SHED_AVOIDANCE_MS;
-      return {...entry, view: {...entry.view, avoidUntilMs}};
+      const avoidance: decisions.Avoidance = {
+        kind: 'shed',
+        untilMs: nowMs + SHED_AVOIDANCE_MS,
+      };
+      return {...entry, view: {...entry.view, avoidance}};
     });
   }
 
@@ -149,12 +160,12 @@
     nowMs: number,
   ): Pick<
     decisions.UpstreamView,
-    'ownInFlightCount' | 'report' | 'avoidUntilMs' | 'warmingSinceMs'
+    'ownInFlightCount' | 'report' | 'avoidance' | 'warmingSinceMs'
   > {
     return {
       ownInFlightCount: 0,
       report: undefined,
-      avoidUntilMs: -Infinity,
+      avoidance: {kind: 'none'},
       warmingSinceMs: this.isFirstUpdate ? -Infinity : nowMs,
     };
   }
--- a/src/services/upstreams/UpstreamsTask.ts
+++ b/src/services/upstreams/UpstreamsTask.ts
@@ -262,15 +262,28 @@
       return;
     }
     if (result.kind !== 'answered') return;
-    if (entry.view.avoidUntilMs <= askedAtMs)
+    if (!decisions.isAvoided(entry.view.avoidance, askedAtMs))
       this.table.addSuccess(upstreamId, this.nowMs());
     const load = decodeLoad(result.answer);
-    if (load === undefined) return;
-    this.table.setReport(
-      upstreamId,
-      {busyCount: load.busyCount, ownInFlightCount, askedAtMs},
-      load.status === 'draining',
-    );
+    switch (load.kind) {
+      case 'none':
+        return;
+      case 'unreadable':
+        this.log('warn', 'loadReportUnreadable', {
+          upstream: upstreamId,
+          reason: load.reason,
+        });
+        return;
+      case 'read':
+        this.table.setReport(
+          upstreamId,
+          {busyCount: load.busyCount, ownInFlightCount, askedAtMs},
+          load.status === 'draining',
+        );
+        return;
+      default:
+        errors.throwUnreachable(load);
+    }
   }
 
   private getRandom(): number {
@@ -366,15 +379,22 @@
   };
 }
 
+/** What an upstream's answer says of its load. */
+type DecodedLoad =
+  /** It reports no load. */
+  | {readonly kind: 'none'}
+  | {readonly kind: 'unreadable'; readonly reason: string}
+  | (Readonly<zod.infer<typeof loadSchema>> & {readonly kind: 'read'});
+
 function decodeLoad(
   answer: Extract<clients.SendResult, {kind: 'answered'}>['answer'],
-): zod.infer<typeof loadSchema> | undefined {
+): DecodedLoad {
   if (answer.httpStatus !== HTTP_OK || answer.body.kind !== 'whole')
-    return undefined;
+    return {kind: 'none'};
   try {
     const text = Buffer.from(answer.body.bytes).toString('utf8');
-    return loadSchema.parse(JSON.parse(text));
-  } catch {
-    return undefined;
+    return {kind: 'read', ...loadSchema.parse(JSON.parse(text))};
+  } catch (thrown) {
+    return {kind: 'unreadable', reason: errors.toError(thrown).message};
   }
 }
--- a/test/decisions/upstreams/chooseUpstream.test.ts
+++ b/test/decisions/upstreams/chooseUpstream.test.ts
@@ -16,7 +16,7 @@
     slotCount: 7,
     ownInFlightCount: 0,
     report: undefined,
-    avoidUntilMs: -Infinity,
+    avoidance: {kind: 'none'},
     warmingSinceMs: -Infinity,
     ...change,
   };
@@ -51,12 +51,39 @@
   });
 
   void test.it('leaves out those that failed or were tried', () => {
-    const views = [getView('a', {avoidUntilMs: 100}), getView('b')];
+    const avoidance = {kind: 'failed', untilMs: 100, failedAtMs: 0} as const;
+    const views = [getView('a', {avoidance}), getView('b')];
     earl.expect(choose(views, 50)).toEqual('b');
     earl.expect(choose(views, 50, {triedIds: ['b']})).toEqual('none');
     earl.expect(choose(views, 100, {triedIds: ['b']})).toEqual('a');
   });
 
+  void test.it('refuses no request while an upstream can be reached', () => {
+    const avoidance = {kind: 'failed', untilMs: 100, failedAtMs: 10} as const;
+    const old = {busyCount: 0, ownInFlightCount: 0, askedAtMs: 5};
+    const report = {...old, askedAtMs: 20};
+    const failed = getView('failed', {avoidance, report: old});
+    const reached = getView('reached', {avoidance, report});
+    earl.expect(choose([failed], 50)).toEqual('none');
+    earl.expect(choose([failed, reached], 50)).toEqual('reached');
+    earl.expect(choose([reached, getView('open')], 50)).toEqual('open');
+  });
+
+  void test.it('tries an upstream that failed with one request', () => {
+    const avoidance = {kind: 'failed', untilMs: 100, failedAtMs: 10} as const;
+    const report = {busyCount: 1, ownInFlightCount: 1, askedAtMs: 20};
+    const view = getView('a', {avoidance, report, ownInFlightCount: 1});
+    earl.expect(choose([view], 50)).toEqual('none');
+  });
+
+  void test.it('sends nothing to an upstream that sheds', () => {
+    const avoidance = {kind: 'shed', untilMs: 100} as const;
+    const report = {busyCount: 0, ownInFlightCount: 0, askedAtMs: 20};
+    const view = getView('a', {avoidance, report});
+    earl.expect(choose([view], 50)).toEqual('none');
+    earl.expect(choose([view], 100)).toEqual('a');
+  });
+
   void test.it('believes a report less as it ages', () => {
     const report = {busyCount: 6, ownInFlightCount: 0, askedAtMs: 0};
     const views = [getView('a', {report}), getView('b', {ownInFlightCount: 2})];
--- a/test/deployment/Requests.test.ts
+++ b/test/deployment/Requests.test.ts
@@ -15,6 +15,12 @@
 /** How long a VM hangs, in milliseconds: less than makes others take its place. */
 const HANG_MS = 300;
 
+/** Requests that an upstream breaks off at once. */
+const BROKEN_COUNT = 6;
+
+/** How soon in milliseconds a VM learns that an upstream answers again: two rounds of load reports. */
+const RETURN_MS = 2000;
+
 /** Callers that leave meanwhile. */
 const GONE_COUNT = 16;
 const OTHER_KEY = deploymentPlans.getKey('telavi');
@@ -237,6 +243,43 @@
     }
   });
 
+  void test.it('are served by an upstream that answers again', async () => {
+    const plan = plans.getPlan({vmCount: 1, upstreamCount: 1});
+    const single = new deployments.Deployment(plan);
+    await single.start();
+    const [{upstreamId}] = plan.upstreams;
+    const request = async (target: string) =>
+      await single.request('vm-0', target, {key: KEY});
+    await single.controlUpstream(upstreamId, {mode: 'truncate'});
+    await Promise.all(
+      [...Array(BROKEN_COUNT).keys()].map(index =>
+        request(`/look-up/broken-${index}?ms=50`),
+      ),
+    );
+    await single.controlUpstream(upstreamId, {mode: 'normal'});
+    const returnedAtMs = performance.now();
+    while ((await request('/look-up/again')).httpStatus !== 200)
+      await timers.setTimeout(POLL_MS);
+    const elapsedMs = performance.now() - returnedAtMs;
+    await single.stop();
+    earl.expect(elapsedMs).toBeLessThan(RETURN_MS);
+  });
+
+  void test.it('are served though a load report is unreadable', async () => {
+    const plan = plans.getPlan({vmCount: 1, upstreamCount: 1});
+    const single = new deployments.Deployment(plan);
+    await single.start();
+    const [{upstreamId}] = plan.upstreams;
+    await single.controlUpstream(upstreamId, {reportedBusy: -1});
+    const {process} = single.getVmOrThrow('vm-0');
+    await deployments.waitFor(() =>
+      process.getLog().includes('event=loadReportUnreadable'),
+    );
+    const answer = await single.request('vm-0', '/look-up/x', {key: KEY});
+    await single.stop();
+    earl.expect(answer.httpStatus).toEqual(200);
+  });
+
   void test.it('that come late never answer another request', async () => {
     const late = Array.from({length: 10}, (_, index) =>
       deployment.request('vm-0', `/look-up/late-${index}?ms=1700`, {key: KEY}),
