Send nothing to an upstream that left while it was connected to

Cause, by reading: an upstream is chosen, then a connection to it may take 700 ms to open, and what the VM learns of the upstream meanwhile (it drains, is gone, is another process, its failure domain is evacuated) kept nothing from being sent.

Change: a sending asks once more when there is a connection; one that may not start counts as not sent.

--- a/src/services/dispatch/DispatchTask.ts
+++ b/src/services/dispatch/DispatchTask.ts
@@ -284,6 +284,7 @@
       remainingMs,
       isFreshOnly:
         route.execution === 'atMostOnce' && state.isSpoilt(startedAtMs),
+      mayStart: () => this.register.isUsable(state),
       abandoned,
     });
     const endedAtMs = this.nowMs();
--- a/src/services/dispatch/UpstreamConnections.ts
+++ b/src/services/dispatch/UpstreamConnections.ts
@@ -47,6 +47,9 @@
   /** Whether a connection that was used before must not be taken. */
   readonly isFreshOnly: boolean;
 
+  /** Whether the upstream may still get the request; asked once there is a connection. */
+  readonly mayStart: () => boolean;
+
   readonly abandoned: AbortSignal;
 }
 
@@ -154,6 +157,8 @@
   }
 
   onRequestStart(controller: undici.Dispatcher.DispatchController): void {
+    if (!this.sending.mayStart())
+      this.finish({kind: 'notSent', reason: 'the upstream has left'});
     this.controller = controller;
     if (this.isSettled) controller.abort(new Error('settled'));
   }
--- a/src/services/dispatch/UpstreamRegister.ts
+++ b/src/services/dispatch/UpstreamRegister.ts
@@ -79,6 +79,16 @@
     return events;
   }
 
+  /** Whether an upstream is still there under its identifier and gets requests. */
+  isUsable(state: states.UpstreamState): boolean {
+    const {record} = state;
+    return (
+      this.upstreams.get(state.upstreamId)?.state === state &&
+      record.state === 'ready' &&
+      !this.evacuated.has(record.failureDomain)
+    );
+  }
+
   /** Replaces the failure domains whose upstreams get nothing; gives those that get requests again. */
   setEvacuated(domains: readonly string[]): readonly string[] {
     const known = this.evacuated;
@@ -94,7 +104,7 @@
     const capacities = new Map<string, number>();
     for (const {state} of this.upstreams.values()) {
       const {record} = state;
-      if (record.serviceId !== serviceId || !this.isUsable(record)) continue;
+      if (record.serviceId !== serviceId || !this.isUsable(state)) continue;
       const known = capacities.get(record.region) ?? 0;
       capacities.set(record.region, known + record.slotCount);
     }
@@ -204,7 +214,7 @@
     const regions = new Map<string, decisions.RankedUpstream[]>();
     for (const {state} of this.upstreams.values()) {
       const {record, upstreamId, hash} = state;
-      if (record.serviceId !== serviceId || !this.isUsable(record)) continue;
+      if (record.serviceId !== serviceId || !this.isUsable(state)) continue;
       if (homeRegions !== undefined && !homeRegions.includes(record.region))
         continue;
       const known = regions.get(record.region) ?? [];
@@ -224,12 +234,6 @@
     });
   }
 
-  private isUsable(record: entry.UpstreamRecord): boolean {
-    return (
-      record.state === 'ready' && !this.evacuated.has(record.failureDomain)
-    );
-  }
-
   private forgetRankings(): void {
     this.rankings.clear();
     this.candidates.clear();
--- a/test/services/dispatch/UpstreamConnections.test.ts
+++ b/test/services/dispatch/UpstreamConnections.test.ts
@@ -25,6 +25,7 @@
 async function send(
   mode: upstreams.UpstreamMode,
   abandoned: AbortSignal,
+  mayStart = () => true,
 ): Promise<{
   readonly result: connections.SendResult;
   readonly upstream: upstreams.PublishedUpstream;
@@ -43,6 +44,7 @@
       headers: ['x-request-id', 'q'],
       remainingMs: 20_000,
       isFreshOnly: false,
+      mayStart,
       abandoned,
     });
     return {result, upstream};
@@ -59,6 +61,18 @@
     earl.expect(upstream.arrivalCount).toEqual(0);
   });
 
+  void test.it(
+    'sends nothing to an upstream that left while it was connected to',
+    async () => {
+      let isOpen = true;
+      const sent = send('normal', new AbortController().signal, () => isOpen);
+      isOpen = false;
+      const {result, upstream} = await sent;
+      earl.expect(result.kind).toEqual('notSent');
+      earl.expect(upstream.arrivalCount).toEqual(0);
+    },
+  );
+
   for (const mode of ['endlessHead', 'endlessBody'] as const)
     void test.it(
       `closes the connection of an answer with ${mode}`,
--- a/test/services/dispatch/UpstreamRegister.test.ts
+++ b/test/services/dispatch/UpstreamRegister.test.ts
@@ -57,6 +57,29 @@
     },
   );
 
+  void test.it('knows of upstreams that may get nothing any more', async () => {
+    const register = new registers.UpstreamRegister(new headers.HeaderCodec());
+    const isUsable = (
+      change: Parameters<typeof records.getUpstreamRecord>[1],
+    ) => {
+      register.setRecords([records.getUpstreamRecord('a')]);
+      const known = register.get('a')?.state;
+      register.setRecords([records.getUpstreamRecord('a', change)]);
+      return known !== undefined && register.isUsable(known);
+    };
+    earl.expect(isUsable({slotCount: 3})).toEqual(true);
+    earl.expect(isUsable({state: 'draining'})).toEqual(false);
+    earl.expect(isUsable({startedAtMs: 2})).toEqual(false);
+    const [{state}] = register.getAll();
+    register.setEvacuated([state.record.failureDomain]);
+    earl.expect(register.isUsable(state)).toEqual(false);
+    register.setEvacuated([]);
+    earl.expect(register.isUsable(state)).toEqual(true);
+    register.setRecords([]);
+    earl.expect(register.isUsable(state)).toEqual(false);
+    await register.close();
+  });
+
   void test.it(
     'takes an upstream that started again for another one',
     async () => {
