--- a/src/services/upstreams/UpstreamClient.ts
+++ b/src/services/upstreams/UpstreamClient.ts
@@ -40,6 +40,9 @@
   /** Time in milliseconds until the deadline. */
   readonly remainingMs: number;
 
+  /** Whether the upstream may still get the request; asked once a connection is free. */
+  readonly mayStart: () => boolean;
+
   readonly abandoned: AbortSignal;
 }
 
@@ -126,6 +129,8 @@
   }
 
   onRequestStart(controller: undici.Dispatcher.DispatchController): void {
+    if (!this.sending.mayStart())
+      this.fail('notSent', new Error('the upstream has left'));
     this.controller = controller;
     if (this.isSettled) controller.abort(new Error('settled'));
   }
--- a/src/services/upstreams/UpstreamTable.ts
+++ b/src/services/upstreams/UpstreamTable.ts
@@ -34,12 +34,17 @@
     return [...this.byId.keys()];
   }
 
+  /** Whether an upstream takes new work and still has the connections of `client`. */
+  isOpen(upstreamId: string, client: clients.UpstreamClient): boolean {
+    const entry = this.byId.get(upstreamId);
+    return entry?.client === client && takesWork(entry);
+  }
+
   /** Gets the upstreams of a service that take new work. */
   getViews(serviceId: string): readonly decisions.UpstreamView[] {
     const views: decisions.UpstreamView[] = [];
     for (const entry of this.byId.values()) {
-      const isOpen = entry.upstream.status === 'active' && !entry.isLeaving;
-      if (entry.upstream.serviceId === serviceId && isOpen)
+      if (entry.upstream.serviceId === serviceId && takesWork(entry))
         views.push(entry.view);
     }
     return views;
@@ -186,6 +191,10 @@
   }
 }
 
+function takesWork(entry: entries.UpstreamEntry): boolean {
+  return entry.upstream.status === 'active' && !entry.isLeaving;
+}
+
 function isSameAddress(
   next: configurations.Upstream | undefined,
   known: configurations.Upstream,
--- a/src/services/upstreams/UpstreamsTask.ts
+++ b/src/services/upstreams/UpstreamsTask.ts
@@ -132,6 +132,7 @@
       organisationId,
       deadlineMs,
       remainingMs,
+      mayStart: () => this.table.isOpen(upstreamId, entry.client),
       abandoned,
     });
     this.table.addInFlight(upstreamId, -1);
@@ -375,6 +376,7 @@
     organisationId: '',
     deadlineMs,
     remainingMs: PROBE_TIMEOUT_MS,
+    mayStart: () => true,
     abandoned: new AbortController().signal,
   };
 }
--- a/test/services/upstreams/UpstreamClient.test.ts
+++ b/test/services/upstreams/UpstreamClient.test.ts
@@ -5,6 +5,7 @@
 
 async function send(
   mode: upstreams.UpstreamMode,
+  mayStart = () => true,
 ): Promise<clients.SendResult['kind']> {
   const upstream = new upstreams.PublishedUpstream('i-0');
   upstream.mode = mode;
@@ -23,6 +24,7 @@
       organisationId: '',
       deadlineMs: Date.now() + 20_000,
       remainingMs: 20_000,
+      mayStart,
       abandoned: new AbortController().signal,
     });
     return result.kind;
@@ -42,6 +44,10 @@
       },
     );
 
+  void test.it('sends nothing to an upstream that has left', async () => {
+    earl.expect(await send('normal', () => false)).toEqual('notSent');
+  });
+
   void test.it('takes an answer that ends with its connection', async () => {
     earl.expect(await send('unframed')).toEqual('answered');
   });
