--- a/test/platform/EntryFleet.ts
+++ b/test/platform/EntryFleet.ts
@@ -59,8 +59,9 @@
 /** Runs a test over a fleet whose store is open; the fleet is ended in any case. */
 export async function withFleet(
   run: (fleet: EntryFleet) => Promise<void>,
+  program = PROGRAM,
 ): Promise<void> {
-  const fleet = new EntryFleet();
+  const fleet = new EntryFleet(program);
   try {
     await fleet.open();
     await run(fleet);
@@ -87,6 +88,12 @@
   private storeAddress = '';
   private configurationVersion = 0;
   private nextRequest = 0;
+  private readonly program: string;
+
+  /** @param program The file that the VMs run. */
+  constructor(program = PROGRAM) {
+    this.program = program;
+  }
 
   /** Starts the store, which stays empty. */
   async open(): Promise<void> {
@@ -196,7 +203,8 @@
         settingsFile,
         this.getSettings(`vm-${index}`, host, domain, region),
       );
-      this.vms.push({host, settingsFile, process: startProcess(settingsFile)});
+      const process = startProcess(this.program, settingsFile);
+      this.vms.push({host, settingsFile, process});
     }
     for (let index = from; index < from + count; index++)
       await this.waitForReady(index);
@@ -205,7 +213,10 @@
   /** Starts a VM's process again after its end. */
   restart(index: number): void {
     const vm = this.vms[index];
-    this.vms[index] = {...vm, process: startProcess(vm.settingsFile)};
+    this.vms[index] = {
+      ...vm,
+      process: startProcess(this.program, vm.settingsFile),
+    };
   }
 
   /** Gets a VM's process. */
@@ -318,8 +329,11 @@
   return `127.${high}.${2 + (block % 250)}.${2 + (index % OTHER_ADDRESS_COUNT)}`;
 }
 
-function startProcess(settingsFile: string): processes.ManagedProcess {
-  return new processes.ManagedProcess(PROGRAM, [], {
+function startProcess(
+  program: string,
+  settingsFile: string,
+): processes.ManagedProcess {
+  return new processes.ManagedProcess(program, [], {
     BRAMLEYRUN_SETTINGS: settingsFile,
   });
 }
