--- a/test/platform/rows.test.ts
+++ b/test/platform/rows.test.ts
@@ -3,7 +3,7 @@
 import * as fastCheck from 'fast-check';
 import * as operatorRows from '../../platform/operatorRows.js';
 import * as upstreamRows from '../../platform/upstreamRows.js';
-import * as upstreamTables from '../../platform/UpstreamTable.js';
+import * as upstreamRowCaches from '../../platform/UpstreamRowCache.js';
 
 const SEED = 20261204;
 const REGIONS = new Map([['amman-jabal', 'amman']]);
@@ -113,12 +113,12 @@
   });
 });
 
-void test.describe('UpstreamTable', () => {
-  const getStates = (content: upstreamTables.UpstreamTableContent) =>
+void test.describe('UpstreamRowCache', () => {
+  const getStates = (content: upstreamRowCaches.UpstreamRowsContent) =>
     content.upstreams.map(({upstreamId, state}) => `${upstreamId} ${state}`);
 
   void test.it('decodes a row again only when it has changed', () => {
-    const table = new upstreamTables.UpstreamTable(REGIONS);
+    const table = new upstreamRowCaches.UpstreamRowCache(REGIONS);
     const first = table.decode([getRow('i-1', ENTRY), getRow('i-2', ENTRY)]);
     const draining = {...ENTRY, Status: {State: 'draining'}};
     const second = table.decode([
@@ -130,7 +130,7 @@
   });
 
   void test.it('keeps no row that is gone or unreadable', () => {
-    const table = new upstreamTables.UpstreamTable(REGIONS);
+    const table = new upstreamRowCaches.UpstreamRowCache(REGIONS);
     table.decode([getRow('i-1', ENTRY), getRow('i-2', ENTRY)]);
     const bad = table.decode([getRow('i-2', 'no json')]);
     earl.expect(bad.upstreams).toEqual([]);
