Remove a stopping VM's row while its requests end

Change: the row is removed when the stop begins, beside the requests that end. Peers go on hearing of the VM from itself.

--- a/src/services/members/MembersTask.ts
+++ b/src/services/members/MembersTask.ts
@@ -41,6 +41,7 @@
   private upstreamRowsVersion = 0;
   private limitUses: entry.LimitUses | undefined;
   private serviceDemands: readonly entry.ServiceDemand[] = [];
+  private removal: Promise<store.StoreWrite> | undefined;
   private isLeaving = false;
   private isStopped = false;
 
@@ -75,11 +76,8 @@
 
   protected override async onStop(): Promise<void> {
     this.isStopped = true;
-    await this.getService(store.STORE).ask<store.StoreWrite>(reply => ({
-      kind: 'removeMember',
-      vmId: this.self.vmId,
-      reply,
-    }));
+    this.removal ??= this.remove();
+    await this.removal;
     this.sendStatus();
     await new Promise<void>(resolve => this.socket.close(() => resolve()));
   }
@@ -123,6 +121,8 @@
         return;
       case 'leave':
         this.isLeaving = true;
+        // At the end of the stop the store's answer might take longer than is left of the grace period.
+        this.removal ??= this.remove();
         this.sendStatus();
         this.publish();
         return;
@@ -132,7 +132,7 @@
   }
 
   private register(): void {
-    if (this.isStopped) return;
+    if (this.isLeaving || this.isStopped) return;
     void this.getService(store.STORE)
       .ask<store.StoreWrite>(reply => ({
         kind: 'writeMember',
@@ -142,6 +142,14 @@
       .then(write => this.getAddress().post({kind: 'registered', write}));
   }
 
+  private remove(): Promise<store.StoreWrite> {
+    return this.getService(store.STORE).ask<store.StoreWrite>(reply => ({
+      kind: 'removeMember',
+      vmId: this.self.vmId,
+      reply,
+    }));
+  }
+
   private noteRegistration(write: store.StoreWrite): void {
     switch (write.kind) {
       case 'written':
--- a/test/platform/entry.test.ts
+++ b/test/platform/entry.test.ts
@@ -304,6 +304,29 @@
     });
   });
 
+  void test.it(
+    'ends within its grace period while the store says nothing',
+    async () => {
+      await fleets.withFleet(async fleet => {
+        fleet.configure(
+          [{prefix: '/look/', kind: 'safe', service: 'desk', timeout: '20s'}],
+          fleets.getSoleOrganisation('k1'),
+        );
+        const upstream = await fleet.addUpstream('desk');
+        upstream.workMs = 20_000;
+        await fleet.addVms(1);
+        const called = fleet.call(0, {waitMs: 20_000}).catch(() => undefined);
+        await fleet.waitFor(() => upstream.arrivalCount === 1);
+        fleet.store.setFault({kind: 'silence'});
+        fleet.getProcess(0).signal('SIGTERM');
+        const startedAtMs = performance.now();
+        earl.expect(await fleet.getProcess(0).waitForExit()).toEqual(0);
+        earl.expect(performance.now() - startedAtMs).toBeLessThan(6000);
+        await called;
+      });
+    },
+  );
+
   void test.it('holds an organisation to its limit over two VMs', async () => {
     await fleets.withFleet(async fleet => {
       const ratePerSecond = 20;
