--- a/src/services/knowledge/KnowledgeTask.ts
+++ b/src/services/knowledge/KnowledgeTask.ts
@@ -44,13 +44,6 @@
   'drainMs' | 'configurationMs' | 'heartbeatMs'
 >;
 
-/** How the next news of the operators' rows is had. */
-type Following =
-  /** By a reading of all rows: at the start, and whenever a wait was broken off and may have missed something. */
-  | {readonly kind: 'snapshot'}
-  /** By waiting for changes after a version up to which nothing was missed. */
-  | {readonly kind: 'changes'; readonly afterTableVersion: number};
-
 /** Keeps what operators and upstreams wrote: from the store, or from peers while the store is away. */
 export class KnowledgeTask extends base.ServiceTask<messages.KnowledgeMessage> {
   private readonly bounds: KnowledgeBounds;
@@ -62,7 +55,7 @@
   private operatorRows: entry.OperatorRows | undefined;
   private discovery = decisions.NOTHING_DISCOVERED;
   private upstreamTableVersion = 0;
-  private following: Following = {kind: 'snapshot'};
+  private following: decisions.Following = {kind: 'snapshot'};
   private operatorKnownAtMs = -Infinity;
   private upstreamReadAtMs = -Infinity;
   private reach = decisions.UNREAD_STORE;
--- a/src/services/members/MembersTask.ts
+++ b/src/services/members/MembersTask.ts
@@ -32,9 +32,7 @@
   private readonly socket = dgram.createSocket('udp4');
   private members: decisions.MemberTable = new Map();
   private registry: decisions.MemberRegistry | undefined;
-
-  /** Whether changes may have been missed since the registry's version. */
-  private isRegistryStale = true;
+  private following: decisions.Following = {kind: 'snapshot'};
   private isReading = false;
   private startedAtMs = 0;
   private operatorRowsVersion = 0;
@@ -76,8 +74,7 @@
 
   protected override async onStop(): Promise<void> {
     this.isStopped = true;
-    this.removal ??= this.remove();
-    await this.removal;
+    await this.remove();
     this.sendStatus();
     await new Promise<void>(resolve => this.socket.close(() => resolve()));
   }
@@ -122,7 +119,7 @@
       case 'leave':
         this.isLeaving = true;
         // At the end of the stop the store's answer might take longer than is left of the grace period.
-        this.removal ??= this.remove();
+        void this.remove();
         this.sendStatus();
         this.publish();
         return;
@@ -142,12 +139,12 @@
       .then(write => this.getAddress().post({kind: 'registered', write}));
   }
 
-  private remove(): Promise<store.StoreWrite> {
-    return this.getService(store.STORE).ask<store.StoreWrite>(reply => ({
-      kind: 'removeMember',
-      vmId: this.self.vmId,
-      reply,
-    }));
+  /** Removes this VM's row, once. */
+  private async remove(): Promise<void> {
+    this.removal ??= this.getService(store.STORE).ask<store.StoreWrite>(
+      reply => ({kind: 'removeMember', vmId: this.self.vmId, reply}),
+    );
+    await this.removal;
   }
 
   private noteRegistration(write: store.StoreWrite): void {
@@ -168,18 +165,21 @@
     if (this.isStopped || this.isReading) return;
     this.isReading = true;
     const sentAtMs = this.nowMs();
-    const {registry} = this;
+    const {following} = this;
     void this.getService(store.STORE)
-      .ask<store.MemberReading>(reply =>
-        registry === undefined || this.isRegistryStale
-          ? {kind: 'readMembers', reply}
-          : {
+      .ask<store.MemberReading>(reply => {
+        switch (following.kind) {
+          case 'snapshot':
+            return {kind: 'readMembers', reply};
+          case 'changes':
+            return {
               kind: 'awaitMembers',
-              afterTableVersion: registry.tableVersion,
+              afterTableVersion: following.afterTableVersion,
               waitMs: FOLLOW_WAIT_MS,
               reply,
-            },
-      )
+            };
+        }
+      })
       .then(reading =>
         this.getAddress().post({kind: 'membersRead', reading, sentAtMs}),
       );
@@ -193,7 +193,6 @@
     switch (reading.kind) {
       case 'snapshot': {
         const {tableVersion, members} = reading;
-        this.isRegistryStale = false;
         this.setRegistry({
           tableVersion,
           members: new Map(members.map(member => [member.vmId, member])),
@@ -211,7 +210,7 @@
       }
       case 'historyGone':
       case 'unavailable':
-        this.isRegistryStale = true;
+        this.following = {kind: 'snapshot'};
         break;
       default:
         errors.throwUnreachable(reading);
@@ -224,6 +223,10 @@
 
   private setRegistry(registry: decisions.MemberRegistry): void {
     this.registry = registry;
+    this.following = {
+      kind: 'changes',
+      afterTableVersion: registry.tableVersion,
+    };
     this.sendStatus();
   }
 
