--- a/src/services/callers/CallersTask.ts
+++ b/src/services/callers/CallersTask.ts
@@ -30,9 +30,12 @@
   private readonly refusals = new refusals.RefusalLog();
   private readonly connections = new httpService.CallerConnections(
     () => this.nowMs(),
-    unanswered => {
+    ({unansweredCount, answeredCount}) => {
       this.count('callers_left');
-      this.log('info', 'callerLeft', {unanswered});
+      this.log('info', 'callerLeft', {
+        unanswered: unansweredCount,
+        answered: answeredCount,
+      });
     },
   );
   private readonly barrier = new httpService.ReadBarrier();
--- a/src/services/entry/EntryTask.ts
+++ b/src/services/entry/EntryTask.ts
@@ -41,11 +41,15 @@
   private readonly listener: httpService.HttpListener;
   private readonly connections = new httpService.CallerConnections(
     () => this.nowMs(),
-    unanswered => {
+    ({unansweredCount, answeredCount}) => {
       this.count('callers_left');
-      this.log('info', 'callerLeft', {unanswered});
+      this.log('info', 'callerLeft', {
+        unanswered: unansweredCount,
+        answered: answeredCount,
+      });
     },
   );
+  private readonly accepts = new httpService.AcceptWatch(() => this.nowMs());
   private readonly barrier = new httpService.ReadBarrier();
   private delay: delays.LoopDelay | undefined;
   private index: decisions.EntryIndex | undefined;
@@ -73,6 +77,7 @@
       options.address,
       h3.toNodeHandler(app),
     );
+    this.listener.onConnection(() => this.noteConnection());
   }
 
   protected override async onStart(): Promise<void> {
@@ -133,8 +138,16 @@
     }
   }
 
+  private noteConnection(): void {
+    this.count('connections_accepted');
+    this.observe('accept_wait_ms', this.accepts.noteAccepted());
+  }
+
   /** Measures how far the process is behind. */
   private measureDelay(): void {
+    const acceptWaitMs = this.accepts.waitMs;
+    if (acceptWaitMs >= LOGGED_DELAY_MS)
+      this.log('warn', 'acceptDelayed', {waitMs: Math.round(acceptWaitMs)});
     const delayMs = this.delay?.noteTick(this.nowMs()) ?? 0;
     this.observe('loop_delay_ms', delayMs);
     if (delayMs >= LOGGED_DELAY_MS)
--- a/src/services/http/CallerConnection.ts
+++ b/src/services/http/CallerConnection.ts
@@ -1,20 +1,30 @@
 import type * as net from 'node:net';
 
+/** What a caller left behind. */
+export interface CallerDeparture {
+  /** Its requests that were unanswered. */
+  readonly unansweredCount: number;
+
+  /** Its requests on the connection that had been answered. */
+  readonly answeredCount: number;
+}
+
 /** One caller's connection: it ends the work on all its unanswered requests when the caller leaves. */
 export class CallerConnection {
   private readonly getNowMs: () => number;
-  private readonly onLeft: (unansweredCount: number) => void;
+  private readonly onLeft: (departure: CallerDeparture) => void;
   private readonly unanswered = new Set<AbortController>();
   private leftAt: number | undefined;
+  private answeredCount = 0;
 
   /**
    * @param getNowMs Gets the monotonic time in milliseconds.
-   * @param onLeft Hears that the caller left, and how many of its requests were unanswered.
+   * @param onLeft Hears that the caller left while requests of it were unanswered.
    */
   constructor(
     socket: net.Socket,
     getNowMs: () => number,
-    onLeft: (unansweredCount: number) => void,
+    onLeft: (departure: CallerDeparture) => void,
   ) {
     this.getNowMs = getNowMs;
     this.onLeft = onLeft;
@@ -44,14 +54,15 @@
 
   /** Notes that a request is answered. */
   endRequest(controller: AbortController): void {
-    this.unanswered.delete(controller);
+    if (this.unanswered.delete(controller)) this.answeredCount += 1;
   }
 
   private leave(): void {
     if (this.leftAt !== undefined) return;
     this.leftAt = this.getNowMs();
     if (this.unanswered.size === 0) return;
-    this.onLeft(this.unanswered.size);
+    const {answeredCount} = this;
+    this.onLeft({unansweredCount: this.unanswered.size, answeredCount});
     for (const controller of this.unanswered) controller.abort();
     this.unanswered.clear();
   }
--- a/src/services/http/CallerConnections.ts
+++ b/src/services/http/CallerConnections.ts
@@ -4,7 +4,7 @@
 /** The connections of a listener's callers. */
 export class CallerConnections {
   private readonly getNowMs: () => number;
-  private readonly onLeft: (unansweredCount: number) => void;
+  private readonly onLeft: (departure: connections.CallerDeparture) => void;
   private readonly bySocket = new WeakMap<
     net.Socket,
     connections.CallerConnection
@@ -12,11 +12,11 @@
 
   /**
    * @param getNowMs Gets the monotonic time in milliseconds.
-   * @param onLeft Hears that a caller left, and how many of its requests were unanswered.
+   * @param onLeft Hears that a caller left while requests of it were unanswered.
    */
   constructor(
     getNowMs: () => number,
-    onLeft: (unansweredCount: number) => void,
+    onLeft: (departure: connections.CallerDeparture) => void,
   ) {
     this.getNowMs = getNowMs;
     this.onLeft = onLeft;
--- a/src/services/http/HttpListener.ts
+++ b/src/services/http/HttpListener.ts
@@ -29,6 +29,11 @@
     });
   }
 
+  /** Calls back for each connection that is accepted. */
+  onConnection(listener: () => void): void {
+    this.server.on('connection', listener);
+  }
+
   /** Gets the address as host:port, with the port that was given. */
   getAddress(): string {
     const {port} = this.server.address() as net.AddressInfo;
--- a/src/services/http/index.ts
+++ b/src/services/http/index.ts
@@ -1,3 +1,4 @@
+export * from './AcceptWatch.js';
 export * from './CallerConnection.js';
 export * from './CallerConnections.js';
 export * from './HttpListener.js';
--- a/src/services/logs/EventName.ts
+++ b/src/services/logs/EventName.ts
@@ -39,5 +39,6 @@
   | 'callerLeft'
   | 'answerUndelivered'
   | 'loopDelayed'
+  | 'acceptDelayed'
   | 'limitReached'
   | 'linesLeftOut';
--- a/src/services/metrics/MetricsMessage.ts
+++ b/src/services/metrics/MetricsMessage.ts
@@ -22,6 +22,7 @@
   | 'answers_discarded'
   | 'answers_undelivered'
   | 'callers_left'
+  | 'connections_accepted'
   | 'requests_abandoned'
   | 'placements_first'
   | 'placements_other';
@@ -37,6 +38,7 @@
   | 'after_departure_ms'
   /** How late timers fire. */
   | 'loop_delay_ms'
+  | 'accept_wait_ms'
   /** The age of the last reading of the operators' rows when the next one comes. */
   | 'knowledge_gap_ms';
 
