Let no more connections wait than are answered in time

With 511 places in the listen queue callers of a loaded VM waited for about a second before their request was read: past their route's time limit, or until they had left. Now 128 wait, a fifth of a second's work of the smallest VM; others find no connection and try another VM.

overload.test.ts: of 400 callers at a stopped VM all 400 wait with a queue of 511, no more than 129 now.

--- a/src/services/http/HttpListener.ts
+++ b/src/services/http/HttpListener.ts
@@ -5,6 +5,12 @@
 /** How long in milliseconds an idle connection is kept. */
 const KEEP_ALIVE_MS = 30_000;
 
+/**
+ * The most connections that wait to be accepted: the smallest VM answers as many in a fifth of a second. Callers that
+ * find no room try another VM; in a longer queue their time would pass unseen.
+ */
+const MAX_WAITING_CONNECTIONS = 128;
+
 /** A listening HTTP socket that closes without cutting a request. */
 export class HttpListener {
   private readonly server: http.Server;
@@ -25,7 +31,12 @@
   async open(): Promise<void> {
     await new Promise<void>((resolve, reject) => {
       this.server.once('error', reject);
-      this.server.listen(this.address.port, this.address.host, resolve);
+      this.server.listen(
+        this.address.port,
+        this.address.host,
+        MAX_WAITING_CONNECTIONS,
+        resolve,
+      );
     });
   }
 
--- a/test/platform/overload.test.ts
+++ b/test/platform/overload.test.ts
@@ -57,7 +57,31 @@
   });
 }
 
+/** More connections than a VM lets wait, with those that it does: a queue of 128 holds one more. */
+const FLOOD_COUNT = 400;
+const MAX_WAITING_COUNT = 129;
+
 void test.describe('connections that wait to be accepted', () => {
+  void test.it('are no more than are answered in time', async () => {
+    await fleets.withFleet(async fleet => {
+      fleet.configure([], fleets.getSoleOrganisation('k1'));
+      await fleet.addVms(1);
+      const vm = fleet.getProcess(0);
+      vm.signal('SIGSTOP');
+      const connected: callers.RawCaller[] = [];
+      const connects = [...Array(FLOOD_COUNT).keys()].map(async () => {
+        connected.push(await fleet.connect(0));
+      });
+      await timers.setTimeout(HANG_MS / 2);
+      const waitingCount = connected.length;
+      vm.signal('SIGCONT');
+      await Promise.all(connects);
+      // One that only this end takes for open would keep the test's process alive.
+      for (const caller of connected) caller.reset();
+      earl.expect(waitingCount).toBeLessThanOrEqual(MAX_WAITING_COUNT);
+    });
+  });
+
   void test.it(
     'have their time limit counted from before they were accepted',
     async () => {
