Refuse a part of the requests while the VM is behind

Callers of a VM with more requests than processor time all waited, and most had their answer too late or none: nothing bounded what the VM took on. Limits are asked first, so that an organisation that asks for too much does not crowd out the others.

--- /dev/null
+++ b/src/decisions/overload/index.ts
@@ -0,0 +1,1 @@
+export * from './Intake.js';
--- a/src/model/errors/ErrorKind.ts
+++ b/src/model/errors/ErrorKind.ts
@@ -20,6 +20,7 @@
   | 'noUpstream'
   | 'upstreamFailed'
   | 'upstreamShed'
+  | 'overloaded'
   | 'deadlineExceeded'
   | 'notFresh'
   | 'stopping'
@@ -74,6 +75,7 @@
   noUpstream: getAnswer(503, -32024, 69, true),
   upstreamFailed: getAnswer(502, -32025, 70, false),
   upstreamShed: getAnswer(503, -32026, 75, true),
+  overloaded: getAnswer(503, -32035, 75, true),
   deadlineExceeded: getAnswer(504, -32027, 75, false),
   notFresh: getAnswer(503, -32028, 75, true),
   stopping: getAnswer(503, -32029, 75, true),
--- a/src/programs/entry/EntryDaemon.ts
+++ b/src/programs/entry/EntryDaemon.ts
@@ -98,6 +98,7 @@
       address: settings.callers,
       bounds,
       codec: adapters.wire,
+      seed: crypto.randomInt(2 ** 31),
     });
     this.kernel
       .add(
--- a/src/services/entry/EntryFlow.ts
+++ b/src/services/entry/EntryFlow.ts
@@ -3,6 +3,7 @@
 import type * as errors from '../../model/errors/index.js';
 import * as dispatchService from '../dispatch/DispatchMessage.js';
 import * as sharesService from '../shares/SharesMessage.js';
+import type * as gates from './IntakeGate.js';
 
 /** What a caller gets. */
 export type EntryResult =
@@ -32,9 +33,14 @@
 export class EntryFlow {
   private readonly dispatch: kernel.Address<dispatchService.DispatchMessage>;
   private readonly shares: kernel.Address<sharesService.SharesMessage>;
+  private readonly gate: gates.IntakeGate;
 
-  /** @param services Finds the services that the request passes. */
-  constructor(services: kernel.ServiceDirectory) {
+  /**
+   * @param services Finds the services that the request passes.
+   * @param gate Decides what is taken on under load.
+   */
+  constructor(services: kernel.ServiceDirectory, gate: gates.IntakeGate) {
+    this.gate = gate;
     this.dispatch = services.getOrThrow(dispatchService.DISPATCH);
     this.shares = services.getOrThrow(sharesService.SHARES);
   }
@@ -65,6 +71,14 @@
       }
     }
     if (abandoned.aborted) return {kind: 'abandoned'};
+    // Comes after the limits, so that organisations that ask for too much do not crowd out the others.
+    if (!this.gate.isTakenOn())
+      return {
+        kind: 'failed',
+        error: 'overloaded',
+        message: 'this VM is behind with its requests',
+        retryAtMs: this.gate.getRetryAtMs(),
+      };
     const deadlineMs = getDeadlineMs(request, route);
     const outcome = await this.dispatch.ask<dispatchService.DispatchOutcome>(
       reply => ({
--- a/src/services/entry/EntryTask.ts
+++ b/src/services/entry/EntryTask.ts
@@ -11,6 +11,7 @@
 import * as exchanges from './CallerExchange.js';
 import type * as messages from './EntryMessage.js';
 import * as flows from './EntryFlow.js';
+import * as gates from './IntakeGate.js';
 import * as delays from './LoopDelay.js';
 
 /** How long in milliseconds a caller waits that says nothing of it. */
@@ -33,6 +34,9 @@
   readonly address: entry.SocketAddress;
   readonly bounds: entry.EntryBounds;
   readonly codec: codecs.WireCodec;
+
+  /** Draws the requests that are refused under load. */
+  readonly seed: number;
 }
 
 /** Owns the callers' listener: decides what may run and takes it to upstreams and back. */
@@ -40,6 +44,7 @@
   private readonly options: EntryOptions;
   private readonly listener: httpService.HttpListener;
   private readonly accepts: httpService.AcceptWatch;
+  private readonly gate: gates.IntakeGate;
   private readonly connections = new httpService.CallerConnections(
     () => this.nowMs(),
     ({unansweredCount, answeredCount}) => {
@@ -63,6 +68,10 @@
   constructor(options: EntryOptions) {
     super();
     this.options = options;
+    this.gate = new gates.IntakeGate(
+      () => this.nowMs(),
+      new base.RandomSource(options.seed),
+    );
     const app = new h3.H3();
     app.all(
       '/**',
@@ -89,7 +98,7 @@
   }
 
   protected override async onStart(): Promise<void> {
-    this.flow = new flows.EntryFlow(this.getContext().services);
+    this.flow = new flows.EntryFlow(this.getContext().services, this.gate);
     this.delay = new delays.LoopDelay(this.nowMs());
     this.postEvery(delays.LOOP_TICK_MS, {kind: 'tick'});
     const subscriber = this.getAddress();
@@ -156,6 +165,10 @@
   /** Measures how far the process is behind. */
   private measureDelay(): void {
     const acceptWaitMs = this.accepts.waitMs;
+    if (this.gate.takenPart < 1)
+      this.log('warn', 'intakeReduced', {
+        takenPart: this.gate.takenPart.toFixed(2),
+      });
     if (acceptWaitMs >= LOGGED_DELAY_MS)
       this.log('warn', 'acceptDelayed', {waitMs: Math.round(acceptWaitMs)});
     const delayMs = this.delay?.noteTick(this.nowMs()) ?? 0;
@@ -198,6 +211,7 @@
     incoming: http.IncomingMessage,
     response: http.ServerResponse,
   ): Promise<void> {
+    const readAtMs = this.nowMs();
     const arrivedAtMs = Math.min(
       this.getReadArrivalMs(),
       this.accepts.getConnectionArrivalMs(incoming.socket) ?? Infinity,
@@ -209,7 +223,10 @@
       arrivedAtMs + (envelope.remainingMs ?? DEFAULT_WAIT_MS);
     try {
       const body = await this.readBody(incoming, arrivedAtMs, callerDeadlineMs);
+      const bodyMs = this.nowMs() - readAtMs;
       await this.barrier.wait();
+      // A body that comes slowly says nothing of this VM.
+      this.gate.noteTurn(arrivedAtMs + bodyMs);
       const request: entry.EntryRequest = {
         requestId: envelope.requestId,
         method: incoming.method ?? 'GET',
@@ -370,6 +387,7 @@
     const {isNotRun, httpStatus} = errors.ERROR_ANSWERS[error];
     this.count(isNotRun ? 'requests_refused' : 'requests_failed');
     if (error === 'rateLimited') this.count('requests_refused_rate');
+    if (error === 'overloaded') this.count('requests_refused_load');
     const waitMs =
       retryAtMs === undefined
         ? undefined
--- a/src/services/logs/EventName.ts
+++ b/src/services/logs/EventName.ts
@@ -40,5 +40,6 @@
   | 'answerUndelivered'
   | 'loopDelayed'
   | 'acceptDelayed'
+  | 'intakeReduced'
   | 'limitReached'
   | 'linesLeftOut';
--- a/src/services/metrics/MetricsMessage.ts
+++ b/src/services/metrics/MetricsMessage.ts
@@ -5,6 +5,7 @@
   | 'requests_answered'
   | 'requests_refused'
   | 'requests_refused_rate'
+  | 'requests_refused_load'
   | 'requests_borrowed'
   | 'requests_failed'
   | 'upstream_retries'
