Believe a refusal only when it names its request

Reported by another operator: a faulty upstream wrote an earlier refusal once more on a kept connection, and callers were told that requests had not run which had, or they ran at a second upstream. Here refusals with another request's identifier were rejected, but one without any was believed, also a 421, in the entry program and in the daemon: such a request counted as not run and was sent to the next upstream.

What says that a request was not run must name it now; else it may have run. Upstreams name the request in every answer; our stand-ins do so in refusals now as well.

--- a/src/services/dispatch/UpstreamConnections.ts
+++ b/src/services/dispatch/UpstreamConnections.ts
@@ -170,10 +170,7 @@
   ): void {
     if (httpStatus < 200) return;
     const envelope = this.codec.decodeAnswer(httpStatus, headers);
-    if (
-      envelope.requestId !== undefined &&
-      envelope.requestId !== this.sending.request.requestId
-    ) {
+    if (!isAnswerTo(envelope, this.sending.request)) {
       this.abort({kind: 'garbled'});
       return;
     }
@@ -253,3 +250,12 @@
     this.settle(result);
   }
 }
+
+/** Whether an answer belongs to a request. One that says that it was not run must name it: it is acted upon. */
+function isAnswerTo(
+  {requestId, verdict}: codecs.AnswerEnvelope,
+  request: entry.EntryRequest,
+): boolean {
+  if (requestId === undefined) return verdict === 'executed';
+  return requestId === request.requestId;
+}
--- a/src/services/upstreams/UpstreamClient.ts
+++ b/src/services/upstreams/UpstreamClient.ts
@@ -109,6 +109,7 @@
   private sizeBytes = 0;
   private httpStatus = 0;
   private headers: readonly requests.Header[] = [];
+  private isShed = false;
   private output: stream.PassThrough | undefined;
   private isSettled = false;
 
@@ -141,14 +142,21 @@
     headers: http.IncomingHttpHeaders,
   ): void {
     const requestId = headers[codecs.REQUEST_ID_HEADER];
+    const isShed =
+      httpStatus === HTTP_UNAVAILABLE &&
+      headers[codecs.NOT_RUN_HEADER] === 'true';
+    // A refusal is acted upon, so it must name the request.
     const isCrossed =
-      requestId !== undefined && requestId !== this.sending.request.requestId;
+      requestId === undefined
+        ? isShed
+        : requestId !== this.sending.request.requestId;
     if (isCrossed) {
       this.abort({kind: 'broken'});
       return;
     }
     this.httpStatus = httpStatus;
     this.headers = toHeaders(headers);
+    this.isShed = isShed;
   }
 
   onResponseData(
@@ -174,13 +182,7 @@
       this.output.end();
       return;
     }
-    const isShed =
-      this.httpStatus === HTTP_UNAVAILABLE &&
-      this.headers.some(
-        header =>
-          header.name === codecs.NOT_RUN_HEADER && header.value === 'true',
-      );
-    if (isShed) this.settle({kind: 'shed'});
+    if (this.isShed) this.settle({kind: 'shed'});
     else this.answer({kind: 'whole', bytes: Buffer.concat(this.chunks)});
   }
 
--- a/standins/store/PublishedUpstream.ts
+++ b/standins/store/PublishedUpstream.ts
@@ -138,11 +138,18 @@
     const expected = request.headers['x-expected-instance'];
     const isOther = expected !== undefined && expected !== this.upstreamId;
     if (this.mode === 'replaced' || isOther) {
-      response.writeHead(421, {'x-instance-id': 'another'}).end();
+      response
+        .writeHead(421, {
+          'x-instance-id': 'another',
+          'x-request-id': requestId,
+        })
+        .end();
       return;
     }
     if (this.mode === 'shed') {
-      response.writeHead(503, {'x-not-executed': '1'}).end();
+      response
+        .writeHead(503, {'x-not-executed': '1', 'x-request-id': requestId})
+        .end();
       return;
     }
     this.runs.push({
--- a/standins/upstream/main.ts
+++ b/standins/upstream/main.ts
@@ -28,10 +28,11 @@
   return typeof value === 'string' ? value : '';
 }
 
-function refuse(response: http.ServerResponse, reason: string): void {
+function refuse({request, response}: Work, reason: string): void {
   response.writeHead(503, {
     'content-type': 'application/json',
     'x-bramleyrun-not-run': 'true',
+    'x-bramleyrun-request-id': getHeader(request, 'x-bramleyrun-request-id'),
   });
   response.end(JSON.stringify({reason}));
 }
@@ -59,10 +60,10 @@
 }
 
 function accept(work: Work): void {
-  if (isLate(work.request)) return refuse(work.response, 'late');
-  if (status === 'draining') return refuse(work.response, 'draining');
+  if (isLate(work.request)) return refuse(work, 'late');
+  if (status === 'draining') return refuse(work, 'draining');
   if (busyCount < slotCount) return run(work);
-  if (queue.length >= maxQueue) return refuse(work.response, 'full');
+  if (queue.length >= maxQueue) return refuse(work, 'full');
   queue.push(work);
 }
 
@@ -72,7 +73,7 @@
     const work = queue.shift();
     if (work === undefined) return;
     if (work.response.destroyed) continue;
-    if (isLate(work.request)) refuse(work.response, 'late');
+    if (isLate(work.request)) refuse(work, 'late');
     else return run(work);
   }
 }
--- a/test/services/dispatch/UpstreamConnections.test.ts
+++ b/test/services/dispatch/UpstreamConnections.test.ts
@@ -1,9 +1,11 @@
 import * as test from 'node:test';
+import * as timers from 'node:timers/promises';
 import * as earl from 'earl';
 import * as headers from '../../../platform/HeaderCodec.js';
 import type * as entry from '../../../src/model/entry/index.js';
 import * as connections from '../../../src/services/dispatch/UpstreamConnections.js';
 import * as upstreams from '../../../standins/store/PublishedUpstream.js';
+import * as refusals from '../../support/upstreams/withRefusals.js';
 
 /** The most bytes that a process may take of an answer that never ends: a part of the smallest VM's memory. */
 const MAX_TAKEN_BYTES = 64 * 1024 * 1024;
@@ -21,6 +23,39 @@
   callerDeadlineMs: 10_000,
 };
 
+function getSending(requestId: string): connections.Sending {
+  return {
+    request: {...REQUEST, requestId},
+    headers: ['x-request-id', requestId],
+    remainingMs: 20_000,
+    isFreshOnly: false,
+    mayStart: () => true,
+    abandoned: new AbortController().signal,
+  };
+}
+
+/** Sends requests one after the other to an upstream that repeats its first refusal. */
+async function sendToRefusals(
+  getRefusal: (requestId: string) => string,
+  requestIds: readonly string[],
+): Promise<readonly connections.SendResult['kind'][]> {
+  const kinds: connections.SendResult['kind'][] = [];
+  await refusals.withRefusals(getRefusal, async address => {
+    const client = new connections.UpstreamConnections(
+      'i-0',
+      address,
+      new headers.HeaderCodec(),
+    );
+    for (const requestId of requestIds) {
+      kinds.push((await client.send(getSending(requestId))).kind);
+      // The connection is free for the next request once the turn of its answer is over.
+      await timers.setImmediate();
+    }
+    await client.close();
+  });
+  return kinds;
+}
+
 /** Sends one request to an upstream of its own. */
 async function send(
   mode: upstreams.UpstreamMode,
@@ -39,14 +74,8 @@
     new headers.HeaderCodec(),
   );
   try {
-    const result = await client.send({
-      request: REQUEST,
-      headers: ['x-request-id', 'q'],
-      remainingMs: 20_000,
-      isFreshOnly: false,
-      mayStart,
-      abandoned,
-    });
+    const sending = getSending('q');
+    const result = await client.send({...sending, mayStart, abandoned});
     return {result, upstream};
   } finally {
     upstream.close();
@@ -96,6 +125,31 @@
       },
     );
 
+  void test.it('believes no refusal of an earlier request', async () => {
+    const kinds = await sendToRefusals(
+      requestId =>
+        refusals.getRefusalText(
+          '503 Busy',
+          'x-not-executed: 1',
+          `x-request-id: ${requestId}`,
+        ),
+      ['q1', 'q2'],
+    );
+    earl.expect(kinds).toEqual(['shed', 'garbled']);
+  });
+
+  for (const refusal of [
+    refusals.getRefusalText('503 Busy', 'x-not-executed: 1'),
+    refusals.getRefusalText('421 Misdirected', 'x-instance-id: another'),
+  ])
+    void test.it(
+      `believes no refusal that names no request: ${refusal.slice(9, 12)}`,
+      async () => {
+        const kinds = await sendToRefusals(() => refusal, ['q1']);
+        earl.expect(kinds).toEqual(['garbled']);
+      },
+    );
+
   void test.it('takes an answer that ends with its connection', async () => {
     const {result} = await send('unframed', new AbortController().signal);
     earl.expect(result.kind).toEqual('answered');
