Show that no part of an answer with a length passes for the whole

Reported by another operator: an upstream stopped within the head of its answer and closed, and callers got a short body that was framed as whole. Ruled out for both clients by a test that cuts answers with a length, in chunks and with an announced close after every byte, by an end and by a reset: each is broken. No change of the programs.

--- a/test/services/dispatch/UpstreamConnections.test.ts
+++ b/test/services/dispatch/UpstreamConnections.test.ts
@@ -5,6 +5,7 @@
 import type * as entry from '../../../src/model/entry/index.js';
 import * as connections from '../../../src/services/dispatch/UpstreamConnections.js';
 import * as upstreams from '../../../standins/store/PublishedUpstream.js';
+import * as cuts from '../../support/upstreams/withCutAnswer.js';
 import * as refusals from '../../support/upstreams/withRefusals.js';
 
 /** The most bytes that a process may take of an answer that never ends: a part of the smallest VM's memory. */
@@ -150,6 +151,29 @@
       },
     );
 
+  for (const kind of ['end', 'reset'] as const)
+    void test.it(
+      `takes no answer for whole that is cut by ${kind}`,
+      async () => {
+        for (const answer of cuts.getFramedAnswers('x-request-id'))
+          for (let length = 0; length < answer.length; length++)
+            await cuts.withCutAnswer(
+              answer.slice(0, length),
+              kind,
+              async address => {
+                const client = new connections.UpstreamConnections(
+                  'i-0',
+                  address,
+                  new headers.HeaderCodec(),
+                );
+                const result = await client.send(getSending('q'));
+                earl.expect([length, result.kind]).toEqual([length, 'broken']);
+                await client.close();
+              },
+            );
+      },
+    );
+
   void test.it('takes an answer that ends with its connection', async () => {
     const {result} = await send('unframed', new AbortController().signal);
     earl.expect(result.kind).toEqual('answered');
--- a/test/services/upstreams/UpstreamClient.test.ts
+++ b/test/services/upstreams/UpstreamClient.test.ts
@@ -3,6 +3,7 @@
 import * as earl from 'earl';
 import * as clients from '../../../src/services/upstreams/UpstreamClient.js';
 import * as upstreams from '../../../standins/store/PublishedUpstream.js';
+import * as cuts from '../../support/upstreams/withCutAnswer.js';
 import * as refusals from '../../support/upstreams/withRefusals.js';
 
 function getSending(requestId: string): clients.Sending {
@@ -94,6 +95,25 @@
     earl.expect(kinds).toEqual(['broken']);
   });
 
+  for (const kind of ['end', 'reset'] as const)
+    void test.it(
+      `takes no answer for whole that is cut by ${kind}`,
+      async () => {
+        for (const answer of cuts.getFramedAnswers('x-bramleyrun-request-id'))
+          for (let length = 0; length < answer.length; length++)
+            await cuts.withCutAnswer(
+              answer.slice(0, length),
+              kind,
+              async address => {
+                const client = new clients.UpstreamClient('i-0', address);
+                const result = await client.send(getSending('q'));
+                earl.expect([length, result.kind]).toEqual([length, 'broken']);
+                await client.close();
+              },
+            );
+      },
+    );
+
   void test.it('takes an answer that ends with its connection', async () => {
     earl.expect(await send('unframed')).toEqual('answered');
   });
