Close no caller's connection for a marker's; send no marker at a stop

Read in the diff: a caller elsewhere whose connection has the port of a pending marker was taken for the marker and closed without an answer, about one in 700 connections while 40 markers wait; and a marker at a listener that has just been closed would have thrown. Markers are told by address and port now, and none is sent once the listener closes.

--- a/src/services/entry/EntryTask.ts
+++ b/src/services/entry/EntryTask.ts
@@ -118,9 +118,9 @@
     this.getService(membersService.MEMBERS).post({kind: 'leave'});
     await this.wait(Math.min(LEAVE_MS, this.getGraceMs()));
     // From here on nothing new comes in, so that the requests under way can all end.
+    this.accepts.close();
     const closed = this.listener.close();
     await Promise.race([closed, this.wait(this.getGraceMs() - LEAVE_MS)]);
-    this.accepts.close();
     this.listener.closeNow();
   }
 
--- a/src/services/http/AcceptWatch.ts
+++ b/src/services/http/AcceptWatch.ts
@@ -29,6 +29,7 @@
   private markedAtMs = 0;
   private isWatching = false;
   private hasAccepted = false;
+  private isClosed = false;
 
   /**
    * @param listener Whose connections are watched; markers connect to it.
@@ -56,8 +57,9 @@
     return this.arrivals.get(socket);
   }
 
-  /** Ends all markers. */
+  /** Ends all markers, and sends none from now on: a listener that is closed has no address. */
   close(): void {
+    this.isClosed = true;
     for (const {socket} of this.markers) socket.destroy();
     this.markers.clear();
   }
@@ -79,7 +81,7 @@
   /** Ends the marker whose connection was accepted; tells whether it was one. */
   private takeMarker(socket: net.Socket): boolean {
     for (const marker of this.markers) {
-      if (marker.socket.localPort !== socket.remotePort) continue;
+      if (!isFarEnd(socket, marker.socket)) continue;
       this.markers.delete(marker);
       marker.socket.destroy();
       socket.destroy();
@@ -101,7 +103,7 @@
   private mark(): void {
     const nowMs = this.getNowMs();
     if (nowMs < this.markedAtMs + MARKER_INTERVAL_MS) return;
-    if (this.markers.size >= MAX_MARKERS) return;
+    if (this.isClosed || this.markers.size >= MAX_MARKERS) return;
     this.markedAtMs = nowMs;
     const marker = {socket: this.listener.connect(), sentAtMs: nowMs};
     this.markers.add(marker);
@@ -109,3 +111,11 @@
     marker.socket.on('error', () => this.markers.delete(marker));
   }
 }
+
+/** Whether an accepted connection is the far end of a marker; a caller elsewhere may have the same port. */
+function isFarEnd(accepted: net.Socket, marker: net.Socket): boolean {
+  return (
+    accepted.remotePort === marker.localPort &&
+    accepted.remoteAddress === marker.localAddress
+  );
+}
