--- a/test/decisions/overload/Intake.test.ts
+++ b/test/decisions/overload/Intake.test.ts
@@ -56,6 +56,20 @@
         .toBeGreaterThan(USEFUL_PART * CAPACITY_PER_SECOND);
     });
 
+  void test.it('refuses nothing for a pause or a burst', () => {
+    let intake = decisions.startIntake(0);
+    for (let nowMs = 1000; nowMs < 1400; nowMs += 5)
+      intake = decisions.noteRequestAge(intake, 1000, nowMs);
+    for (let nowMs = 1400; nowMs < 3000; nowMs += 5)
+      intake = decisions.noteRequestAge(intake, 1, nowMs);
+    earl.expect(intake.takenPart).toEqual(1);
+    for (let pauseMs = 4000; pauseMs < 9000; pauseMs += 1000) {
+      for (let nowMs = pauseMs; nowMs < pauseMs + 50; nowMs += 5)
+        intake = decisions.noteRequestAge(intake, 900, nowMs);
+      earl.expect(intake.takenPart).toEqual(1);
+    }
+  });
+
   void test.it('takes everything on again after the load', () => {
     let intake = decisions.startIntake(0);
     for (let nowMs = 0; nowMs < 5000; nowMs += 10)
