--- a/test/platform/overload.test.ts
+++ b/test/platform/overload.test.ts
@@ -5,7 +5,7 @@
 import * as fleets from './EntryFleet.js';
 import type * as callers from './RawCaller.js';
 
-const CALLER_COUNT = 30;
+const CALLER_COUNT = 60;
 
 /** How long in milliseconds the VM is stopped while the callers connect. */
 const HANG_MS = 1000;
