Stop sending to upstreams that say they leave or want a pause

Cause: an upstream that shuts down was known from its row alone, so that a VM with a stale row went on sending to it; the retry-after of a 503 was dropped, so that an overloaded upstream was asked again as soon as its reported load had aged.

Change: the codec decodes both notices; a hold on that start of the upstream (decisions/upstreams/UpstreamHold) keeps requests from it, also those that wait for a connection, and survives a row that expires and comes back. Other VMs are informed by a datagram of their own method, as earlier versions reject statuses with unknown fields. A request whose ranked upstreams are paused is placed among all others of the service; when all are paused it is refused at once, with the end of the first pause as its retry-after. Unreadable values have no effect and are logged once a minute. A request that never left the VM costs neither an attempt nor a part of the retry budget.

--- a/src/codecs/entry/WireCodec.ts
+++ b/src/codecs/entry/WireCodec.ts
@@ -37,6 +37,19 @@
   readonly slotCount: number;
 }
 
+/** What an upstream tells this VM with a response, besides the response itself. */
+export type UpstreamNotice =
+  /** The upstream shuts down and wants no more requests. */
+  | {readonly kind: 'leaving'}
+  /** The upstream wants no requests from this VM for the given time, counted from the response. */
+  | {readonly kind: 'pause'; readonly pauseMs: number}
+  /** A header that holds a notice cannot be read. */
+  | {
+      readonly kind: 'unreadable';
+      readonly header: string;
+      readonly value: string;
+    };
+
 /** The content of the status and the headers of an upstream's response. */
 export interface AnswerEnvelope {
   readonly executionStatus: ExecutionStatus;
@@ -44,6 +57,7 @@
   /** Identifies the request that the response belongs to; undefined when the response has no such header. */
   readonly requestId: string | undefined;
   readonly load: UpstreamLoad | undefined;
+  readonly notices: readonly UpstreamNotice[];
 
   /** The headers to return to the caller, as alternating names and values. */
   readonly headers: readonly string[];
--- a/src/codecs/members/memberStatus.ts
+++ b/src/codecs/members/memberStatus.ts
@@ -2,9 +2,13 @@
 import * as zod from 'zod';
 import type * as entry from '../../model/entry/index.js';
 import * as schemas from '../schemas/index.js';
+import * as addresses from './socketAddress.js';
 
 const STATUS_METHOD = 'status';
 
+/** A method of its own: daemons of earlier versions reject statuses with unknown fields. */
+const LEAVING_METHOD = 'upstreamLeaving';
+
 /** Demands are rounded to tenths, a step too small to affect the decisions based on them. */
 const DEMAND_STEPS_PER_UNIT = 10;
 
@@ -48,11 +52,26 @@
   s: serviceDemandsSchema.optional(),
 });
 
-const datagramSchema = zod.object({
-  method: zod.literal(STATUS_METHOD),
-  params: statusSchema,
+/** The identifier, the address and the start time of an upstream that leaves. */
+const upstreamLeavingSchema = zod.strictObject({
+  i: zod.string(),
+  a: zod.string(),
+  b: zod.int().min(0),
 });
 
+const datagramSchema = zod.discriminatedUnion('method', [
+  zod.object({method: zod.literal(STATUS_METHOD), params: statusSchema}),
+  zod.object({
+    method: zod.literal(LEAVING_METHOD),
+    params: upstreamLeavingSchema,
+  }),
+]);
+
+/** The content of a datagram from a peer. */
+export type MemberDatagram =
+  | {readonly kind: 'status'; readonly status: entry.MemberStatus}
+  | {readonly kind: 'upstreamLeaving'; readonly start: entry.UpstreamStart};
+
 /** Encodes a VM's status as a UDP datagram for its peers. */
 export function encodeMemberStatus(status: entry.MemberStatus): Uint8Array {
   const {member} = status;
@@ -69,18 +88,50 @@
     q: encodeLimitUseReport(status.limitUseReport),
     s: status.serviceDemands.map(encodeServiceDemand),
   };
-  return Buffer.from(
-    JSON.stringify({jsonrpc: jsonRpc.JSONRPC, method: STATUS_METHOD, params}),
-  );
+  return encodeDatagram(STATUS_METHOD, params);
+}
+
+/** Encodes as a UDP datagram for peers that an upstream leaves. */
+export function encodeUpstreamLeaving(start: entry.UpstreamStart): Uint8Array {
+  const params: zod.infer<typeof upstreamLeavingSchema> = {
+    i: start.upstreamId,
+    a: addresses.formatSocketAddress(start),
+    b: start.startedAtMs,
+  };
+  return encodeDatagram(LEAVING_METHOD, params);
 }
 
-/** Decodes a VM's status from a datagram. @throws BramleyrunError of kind invalidPeerMessage. */
-export function decodeMemberStatus(bytes: Uint8Array): entry.MemberStatus {
-  const {params} = schemas.parseJsonOrThrow(
+/** Decodes a datagram from a peer. @throws BramleyrunError of kind invalidPeerMessage. */
+export function decodeMemberDatagram(bytes: Uint8Array): MemberDatagram {
+  const datagram = schemas.parseJsonOrThrow(
     datagramSchema,
     Buffer.from(bytes).toString('utf8'),
     'invalidPeerMessage',
   );
+  switch (datagram.method) {
+    case STATUS_METHOD:
+      return {kind: 'status', status: decodeStatus(datagram.params)};
+    case LEAVING_METHOD:
+      return {kind: 'upstreamLeaving', start: decodeStart(datagram.params)};
+  }
+}
+
+function encodeDatagram(method: string, params: object): Uint8Array {
+  return Buffer.from(
+    JSON.stringify({jsonrpc: jsonRpc.JSONRPC, method, params}),
+  );
+}
+
+function decodeStart(
+  params: zod.infer<typeof upstreamLeavingSchema>,
+): entry.UpstreamStart {
+  const {host, port} = addresses.parseSocketAddress(params.a);
+  return {upstreamId: params.i, host, port, startedAtMs: params.b};
+}
+
+function decodeStatus(
+  params: zod.infer<typeof statusSchema>,
+): entry.MemberStatus {
   return {
     member: {
       vmId: params.v,
--- a/src/model/entry/index.ts
+++ b/src/model/entry/index.ts
@@ -5,3 +5,4 @@
 export * from './TableSnapshot.js';
 export * from './MemberRecord.js';
 export * from './UpstreamRecord.js';
+export * from './UpstreamStart.js';
--- a/src/services/dispatch/DispatchMessage.ts
+++ b/src/services/dispatch/DispatchMessage.ts
@@ -42,6 +42,7 @@
   | knowledgeService.OperatorRowsChanged
   | knowledgeService.UpstreamRowsChanged
   | membersService.MembersChanged
+  | membersService.UpstreamLeaving
   | {
       readonly kind: 'dispatch';
       readonly dispatch: EntryDispatch;
--- a/src/services/dispatch/DispatchTask.ts
+++ b/src/services/dispatch/DispatchTask.ts
@@ -10,6 +10,7 @@
 import * as balancers from './RegionBalancer.js';
 import * as registries from './UpstreamRegistry.js';
 import type * as connections from './UpstreamConnections.js';
+import type * as states from './UpstreamState.js';
 
 /** How often demand is measured and the regions' shares are updated. */
 const TICK_INTERVAL_MS = 250;
@@ -24,6 +25,12 @@
 const MIN_RETRY_MS = 250;
 const JITTER_MS = 350;
 
+/** Shortest time between two log lines about unreadable notices of upstreams. */
+const UNREADABLE_NOTICE_LOG_INTERVAL_MS = 60_000;
+
+/** The length in characters to which a logged header value is cut. */
+const MAX_LOGGED_VALUE_LENGTH = 40;
+
 /** The configuration and the retry budget of one service. */
 interface ServiceState {
   readonly service: entry.EntryService;
@@ -48,6 +55,7 @@
   private configuration: entry.EntryConfiguration | undefined;
   private membersView: membersService.MembersChanged | undefined;
   private hasUpstreams = false;
+  private nextUnreadableNoticeLogAtMs = -Infinity;
 
   /** @param options The region of this VM, the retry bounds, the upstreams' codec and the random seed. */
   constructor(options: DispatchOptions) {
@@ -63,10 +71,9 @@
     const knowledge = this.getService(knowledgeService.KNOWLEDGE);
     knowledge.post({kind: 'subscribeOperatorRows', subscriber});
     knowledge.post({kind: 'subscribeUpstreamRows', subscriber});
-    this.getService(membersService.MEMBERS).post({
-      kind: 'subscribe',
-      subscriber,
-    });
+    const members = this.getService(membersService.MEMBERS);
+    members.post({kind: 'subscribe', subscriber});
+    members.post({kind: 'subscribeLeavingUpstreams', subscriber});
     this.postEvery(TICK_INTERVAL_MS, {kind: 'tick'});
   }
 
@@ -85,6 +92,9 @@
       case 'membersChanged':
         this.membersView = message;
         return;
+      case 'upstreamLeaving':
+        this.setLeaving(message.start, 'peer');
+        return;
       case 'dispatch':
         void this.runDispatch(message.dispatch).then(message.reply);
         return;
@@ -124,7 +134,7 @@
     upstreams: readonly entry.UpstreamRecord[],
     readAtMs: number,
   ): void {
-    const events = this.registry.setRecords(upstreams);
+    const events = this.registry.setRecords(upstreams, this.nowMs());
     for (const event of events) this.handleEvent(event);
     const sinceReadMs = this.nowMs() - readAtMs;
     for (const record of upstreams)
@@ -154,6 +164,52 @@
     }
   }
 
+  private handleNotice(
+    state: states.UpstreamState,
+    notice: codecs.UpstreamNotice,
+  ): void {
+    switch (notice.kind) {
+      case 'leaving':
+        if (this.setLeaving(state.record, 'response'))
+          this.getService(membersService.MEMBERS).post({
+            kind: 'announceLeavingUpstream',
+            start: state.record,
+          });
+        return;
+      case 'pause':
+        this.extendPause(state, notice.pauseMs);
+        return;
+      case 'unreadable':
+        this.logUnreadableNotice(state, notice.header, notice.value);
+        return;
+      default:
+        errors.throwUnreachable(notice);
+    }
+  }
+
+  /** Marks a start of an upstream as leaving. Returns whether the mark is new. */
+  private setLeaving(
+    start: entry.UpstreamStart,
+    source: 'response' | 'peer',
+  ): boolean {
+    const isNew = this.registry.setLeaving(start, this.nowMs());
+    if (isNew)
+      this.log('info', 'upstreamLeaving', {upstream: start.upstreamId, source});
+    return isNew;
+  }
+
+  private extendPause(state: states.UpstreamState, pauseMs: number): void {
+    if (!decisions.isPauseAccepted(pauseMs)) {
+      this.logUnreadableNotice(state, 'pauseMs', String(pauseMs));
+      return;
+    }
+    const nowMs = this.nowMs();
+    const wasHeld = decisions.isHeld(state.hold, nowMs);
+    state.extendPause(pauseMs, nowMs);
+    if (!wasHeld && decisions.isHeld(state.hold, nowMs))
+      this.log('info', 'upstreamPaused', {upstream: state.upstreamId, pauseMs});
+  }
+
   private setCold(record: entry.UpstreamRecord, coldMs: number): void {
     if (coldMs <= 0) return;
     const nowMs = this.nowMs();
@@ -196,14 +252,14 @@
     );
     this.creditRetryBudget(serviceId);
     const triedUpstreamIds: string[] = [];
+    let attemptCount = 0;
     let failure: steps.Failure | undefined;
-    while (triedUpstreamIds.length < Math.max(1, route.maxUpstreams)) {
+    while (attemptCount < Math.max(1, route.maxUpstreams)) {
       if (abandoned.aborted) return {kind: 'abandoned'};
       const remainingMs =
         dispatch.deadlineMs - RETURN_RESERVE_MS - this.nowMs();
       if (remainingMs < MIN_REMAINING_MS) break;
-      if (triedUpstreamIds.length > 0 && !this.tryConsumeRetry(serviceId))
-        break;
+      if (attemptCount > 0 && !this.tryConsumeRetry(serviceId)) break;
       const placement = this.placeRequest(
         dispatch,
         serviceId,
@@ -222,6 +278,8 @@
         placement.upstreamId,
         remainingMs,
       );
+      // A request that did not leave this VM costs neither an attempt nor a part of the retry budget.
+      if (result.kind !== 'withheld') attemptCount += 1;
       const step = steps.decideStep(
         route.execution,
         placement.upstreamId,
@@ -232,7 +290,23 @@
       if (step.kind === 'finish') break;
       this.logRetry(dispatch, placement.upstreamId, result.kind);
     }
-    return this.getOutcome(failure ?? steps.NO_TIME_LEFT_FAILURE);
+    return this.getOutcome(
+      failure ?? steps.NO_TIME_LEFT_FAILURE,
+      this.getRankQuery(dispatch, serviceId),
+    );
+  }
+
+  private getRankQuery(
+    dispatch: messages.EntryDispatch,
+    serviceId: string,
+  ): registries.RankQuery {
+    const {route, organisation} = dispatch;
+    return {
+      serviceId,
+      objectName: getObjectName(dispatch),
+      homeRegions: decisions.getHomeRegions(route, organisation),
+      random: this.random.draw(),
+    };
   }
 
   private placeRequest(
@@ -240,24 +314,44 @@
     serviceId: string,
     triedUpstreamIds: readonly string[],
   ): decisions.Placement {
-    const {route, request, organisation} = dispatch;
-    const state = this.services.get(serviceId);
     const nowMs = this.nowMs();
+    const query = this.getRankQuery(dispatch, serviceId);
+    const ranked = this.registry.rank(query);
+    const placement = this.placeAmong(dispatch, query, ranked, {
+      triedUpstreamIds,
+      nowMs,
+    });
+    const isPreferred =
+      placement.kind === 'chosen' &&
+      this.registry.isInSameRegion(placement.upstreamId, ranked[0]);
+    // The few ranked upstreams do not stand for their region while one of them is paused.
+    if (isPreferred || !this.registry.isAnyPaused(ranked, nowMs))
+      return placement;
+    const open = this.registry.rankOpen(query, triedUpstreamIds, nowMs);
+    return this.placeAmong(dispatch, query, open, {triedUpstreamIds, nowMs});
+  }
+
+  private placeAmong(
+    dispatch: messages.EntryDispatch,
+    {serviceId, objectName}: registries.RankQuery,
+    ranked: readonly string[],
+    {
+      triedUpstreamIds,
+      nowMs,
+    }: {
+      readonly triedUpstreamIds: readonly string[];
+      readonly nowMs: number;
+    },
+  ): decisions.Placement {
+    const state = this.services.get(serviceId);
     const coldRate =
       (state?.service.coldRatePerSecond ?? 0) / this.getMemberCount();
-    const objectName = getObjectName(dispatch);
-    const ranked = this.registry.rank({
-      serviceId,
-      objectName,
-      homeRegions: decisions.getHomeRegions(route, organisation),
-      random: this.random.draw(),
-    });
     const views = this.registry
       .getViews(ranked, objectName, coldRate, nowMs)
       .filter(view => !triedUpstreamIds.includes(view.upstreamId));
     const placement = decisions.choosePlacement(views);
     this.log('debug', 'requestPlaced', () => ({
-      request: request.requestId,
+      request: dispatch.request.requestId,
       outcome: placement.kind,
       object: objectName,
       ranked: ranked.join(),
@@ -299,7 +393,8 @@
       remainingMs,
       needsNewConnection:
         route.execution === 'atMostOnce' && state.isUnreliable(startedAtMs),
-      isStillEligible: () => this.registry.isUsable(state),
+      isStillEligible: () => this.registry.isOpen(state, this.nowMs()),
+      onNotice: notice => this.handleNotice(state, notice),
       abandoned,
     });
     const endedAtMs = this.nowMs();
@@ -342,6 +437,7 @@
         state.addFailure(nowMs);
         this.logAvoided(state.upstreamId, result.kind);
         return;
+      case 'withheld':
       case 'abandoned':
         return;
       default:
@@ -349,11 +445,18 @@
     }
   }
 
-  private getOutcome(failure: steps.Failure): messages.DispatchOutcome {
+  private getOutcome(
+    failure: steps.Failure,
+    query: registries.RankQuery,
+  ): messages.DispatchOutcome {
     switch (failure.kind) {
       case 'notRun': {
-        const waitMs = MIN_RETRY_MS + JITTER_MS * this.random.draw();
-        return {...failure, retryAtMs: this.nowMs() + waitMs};
+        const nowMs = this.nowMs();
+        const openAtMs =
+          this.registry.getFirstPauseEndMs(query, nowMs) ?? nowMs;
+        const earliestMs = Math.max(nowMs + MIN_RETRY_MS, openAtMs);
+        const jitterMs = JITTER_MS * this.random.draw();
+        return {...failure, retryAtMs: earliestMs + jitterMs};
       }
       case 'mayHaveRun':
         return failure;
@@ -414,6 +517,22 @@
     this.log('warn', 'upstreamAvoided', {upstream: upstreamId, reason});
   }
 
+  private logUnreadableNotice(
+    state: states.UpstreamState,
+    header: string,
+    value: string,
+  ): void {
+    const nowMs = this.nowMs();
+    if (nowMs < this.nextUnreadableNoticeLogAtMs) return;
+    this.nextUnreadableNoticeLogAtMs =
+      nowMs + UNREADABLE_NOTICE_LOG_INTERVAL_MS;
+    this.log('warn', 'upstreamNoticeUnreadable', {
+      upstream: state.upstreamId,
+      header,
+      value: value.slice(0, MAX_LOGGED_VALUE_LENGTH),
+    });
+  }
+
   private logRetry(
     dispatch: messages.EntryDispatch,
     upstreamId: string,
--- a/src/services/dispatch/UpstreamConnections.ts
+++ b/src/services/dispatch/UpstreamConnections.ts
@@ -24,8 +24,10 @@
     }
   /** The address belongs to another upstream now. */
   | {readonly kind: 'misdirected'}
-  /** The request was not sent, since no connection could be opened or the upstream is no longer eligible. */
+  /** The request was not sent, since no connection could be opened. */
   | {readonly kind: 'notSent'; readonly reason: string}
+  /** The request was not sent, since the upstream stopped being eligible while it waited for a connection. */
+  | {readonly kind: 'withheld'}
   /** The connection broke after the request was sent on it. */
   | {readonly kind: 'broken'; readonly reason: string}
   /** The response does not belong to this request. */
@@ -50,6 +52,9 @@
   /** Whether the upstream may still receive the request; called once a connection is available. */
   readonly isStillEligible: () => boolean;
 
+  /** Called for each notice of the upstream, as soon as the head of its response has been read. */
+  readonly onNotice: (notice: codecs.UpstreamNotice) => void;
+
   readonly abandoned: AbortSignal;
 }
 
@@ -159,11 +164,7 @@
   }
 
   onRequestStart(controller: undici.Dispatcher.DispatchController): void {
-    if (!this.outbound.isStillEligible())
-      this.finish({
-        kind: 'notSent',
-        reason: 'the upstream no longer accepts requests',
-      });
+    if (!this.outbound.isStillEligible()) this.finish({kind: 'withheld'});
     this.controller = controller;
     if (this.isSettled) controller.abort(new Error('settled'));
   }
@@ -179,6 +180,9 @@
       this.abort({kind: 'garbled'});
       return;
     }
+    // Another upstream has the address; its notices are not about this one.
+    if (envelope.executionStatus !== 'misdirected')
+      for (const notice of envelope.notices) this.outbound.onNotice(notice);
     this.httpStatus = httpStatus;
     this.envelope = envelope;
     const isFramed =
--- a/src/services/dispatch/UpstreamRegistry.ts
+++ b/src/services/dispatch/UpstreamRegistry.ts
@@ -1,6 +1,7 @@
 import type * as codecs from '../../codecs/entry/index.js';
 import * as decisions from '../../decisions/index.js';
 import type * as entry from '../../model/entry/index.js';
+import * as formerHolds from './FormerHolds.js';
 import * as connections from './UpstreamConnections.js';
 import * as states from './UpstreamState.js';
 
@@ -41,6 +42,7 @@
     readonly decisions.RankableRegion[]
   >();
   private readonly shares = new Map<string, decisions.RegionShares>();
+  private readonly formerHolds = new formerHolds.FormerHolds();
   private evacuated: ReadonlySet<string> = new Set();
 
   /** @param codec Encodes requests to upstreams and decodes their answers. */
@@ -58,20 +60,26 @@
     return this.upstreams.values();
   }
 
-  /** Replaces the records of all upstreams. Returns the changes. */
+  /**
+   * Replaces the records of all upstreams. Returns the changes.
+   *
+   * @param nowMs Monotonic time in milliseconds.
+   */
   setRecords(
     records: readonly entry.UpstreamRecord[],
+    nowMs: number,
   ): readonly RegistryEvent[] {
     const events: RegistryEvent[] = [];
     const listedIds = new Set<string>();
     for (const record of records) {
       listedIds.add(record.upstreamId);
-      const event = this.setRecord(record);
+      const event = this.setRecord(record, nowMs);
       if (event !== undefined) events.push(event);
     }
     for (const [upstreamId, upstream] of this.upstreams) {
       if (listedIds.has(upstreamId)) continue;
       this.upstreams.delete(upstreamId);
+      this.formerHolds.add(upstream.state.record, upstream.state.hold, nowMs);
       void upstream.connections.close();
       events.push({kind: 'removed', record: upstream.state.record});
     }
@@ -79,16 +87,42 @@
     return events;
   }
 
-  /** Whether an upstream is still registered, ready and outside the evacuated failure domains. */
+  /**
+   * Marks a start of an upstream as leaving; a start without a record is marked when its record arrives. Returns
+   * whether the mark is new.
+   */
+  setLeaving(start: entry.UpstreamStart, nowMs: number): boolean {
+    const state = this.upstreams.get(start.upstreamId)?.state;
+    if (state === undefined) {
+      this.formerHolds.add(start, {kind: 'leaving'}, nowMs);
+      return false;
+    }
+    const isCurrent = formerHolds.isSameStart(state.record, start);
+    if (!isCurrent || state.hold.kind === 'leaving') return false;
+    state.setLeaving();
+    this.clearRankings();
+    return true;
+  }
+
+  /**
+   * Whether an upstream is still registered, ready, outside the evacuated failure domains, and has not said that it
+   * leaves.
+   */
   isUsable(state: states.UpstreamState): boolean {
     const {record} = state;
     return (
       this.upstreams.get(state.upstreamId)?.state === state &&
       record.state === 'ready' &&
+      state.hold.kind !== 'leaving' &&
       !this.evacuated.has(record.failureDomain)
     );
   }
 
+  /** Whether an upstream may receive a request at the monotonic time `nowMs`, in milliseconds. */
+  isOpen(state: states.UpstreamState, nowMs: number): boolean {
+    return this.isUsable(state) && !decisions.isHeld(state.hold, nowMs);
+  }
+
   /** Replaces the failure domains whose upstreams get no requests. Returns those that are no longer evacuated. */
   setEvacuatedDomains(domains: readonly string[]): readonly string[] {
     const previous = this.evacuated;
@@ -127,20 +161,61 @@
   /** Gets the identifiers of the preferred upstreams for an object, best first. */
   rank(query: RankQuery): readonly string[] {
     const group = `${query.serviceId}|${query.homeRegions?.join() ?? ''}`;
-    if (query.objectName === '') {
-      const hash = Math.floor(query.random * 2 ** 32);
-      return this.rankCandidates(group, query, hash);
-    }
+    const hash = getQueryHash(query);
+    if (query.objectName === '') return this.rankCandidates(group, query, hash);
     const key = `${group}|${query.objectName}`;
     const cached = this.rankings.get(key);
     if (cached !== undefined) return cached;
-    const hash = decisions.getHash(query.objectName);
     const ranking = this.rankCandidates(group, query, hash);
     if (this.rankings.size >= MAX_CACHED_RANKINGS) this.rankings.clear();
     this.rankings.set(key, ranking);
     return ranking;
   }
 
+  /**
+   * Gets the identifiers of the preferred upstreams for an object among those that are not paused, best first.
+   *
+   * @param excludedIds Upstreams to leave out.
+   * @param nowMs Monotonic time in milliseconds.
+   */
+  rankOpen(
+    query: RankQuery,
+    excludedIds: readonly string[],
+    nowMs: number,
+  ): readonly string[] {
+    const candidates = this.getCandidates(
+      query,
+      state =>
+        !decisions.isHeld(state.hold, nowMs) &&
+        !excludedIds.includes(state.upstreamId),
+    );
+    return decisions.rankInRegions(candidates, getQueryHash(query));
+  }
+
+  /** Whether two upstreams are in the same region. */
+  isInSameRegion(upstreamId: string, otherId: string): boolean {
+    const other = this.get(otherId);
+    return (
+      this.get(upstreamId)?.state.record.region === other?.state.record.region
+    );
+  }
+
+  /** Whether one of the upstreams is paused at the monotonic time `nowMs`, in milliseconds. */
+  isAnyPaused(upstreamIds: readonly string[], nowMs: number): boolean {
+    return upstreamIds.some(upstreamId => {
+      const hold = this.get(upstreamId)?.state.hold;
+      return hold?.kind === 'paused' && decisions.isHeld(hold, nowMs);
+    });
+  }
+
+  /**
+   * Gets the monotonic time in milliseconds at which the first of the upstreams that may run a request accepts one
+   * again; undefined unless all of them are paused.
+   */
+  getFirstPauseEndMs(query: RankQuery, nowMs: number): number | undefined {
+    return decisions.getFirstPauseEndMs(this.getHolds(query), nowMs);
+  }
+
   /**
    * Gets the views of ranked upstreams that a placement is chosen from.
    *
@@ -174,7 +249,21 @@
     );
   }
 
-  private setRecord(record: entry.UpstreamRecord): RegistryEvent | undefined {
+  private *getHolds({
+    serviceId,
+    homeRegions,
+  }: RankQuery): Generator<decisions.UpstreamHold> {
+    for (const {state} of this.upstreams.values()) {
+      const {record} = state;
+      if (record.serviceId !== serviceId || !this.isUsable(state)) continue;
+      if (homeRegions?.includes(record.region) ?? true) yield state.hold;
+    }
+  }
+
+  private setRecord(
+    record: entry.UpstreamRecord,
+    nowMs: number,
+  ): RegistryEvent | undefined {
     const existing = this.upstreams.get(record.upstreamId);
     if (
       existing === undefined ||
@@ -183,7 +272,10 @@
       if (existing !== undefined) void existing.connections.close();
       const address = `${record.host}:${record.port}`;
       this.upstreams.set(record.upstreamId, {
-        state: new states.UpstreamState(record),
+        state: new states.UpstreamState(
+          record,
+          this.formerHolds.take(record, nowMs),
+        ),
         connections: new connections.UpstreamConnections(
           record.upstreamId,
           address,
@@ -212,7 +304,10 @@
     return decisions.rankInRegions(candidates, hash);
   }
 
-  private getCandidates(query: RankQuery): readonly decisions.RankableRegion[] {
+  private getCandidates(
+    query: RankQuery,
+    isCandidate: (state: states.UpstreamState) => boolean = () => true,
+  ): readonly decisions.RankableRegion[] {
     const {serviceId, homeRegions} = query;
     const capacities = this.getCapacities(serviceId);
     const shares = this.shares.get(serviceId);
@@ -222,6 +317,7 @@
       if (record.serviceId !== serviceId || !this.isUsable(state)) continue;
       if (homeRegions !== undefined && !homeRegions.includes(record.region))
         continue;
+      if (!isCandidate(state)) continue;
       const regionUpstreams = regions.get(record.region) ?? [];
       regionUpstreams.push({upstreamId, hash, weight: record.slotCount});
       regions.set(record.region, regionUpstreams);
@@ -248,6 +344,12 @@
 /** The smallest fraction of the objects that a region is ranked with. */
 const MIN_REGION_SHARE = 1e-6;
 
+function getQueryHash({objectName, random}: RankQuery): number {
+  return objectName === ''
+    ? Math.floor(random * 2 ** 32)
+    : decisions.getHash(objectName);
+}
+
 /** Whether an upstream's identifier now names another process: one that was restarted or has another address. */
 function isOtherProcess(
   previous: entry.UpstreamRecord,
--- a/src/services/dispatch/UpstreamState.ts
+++ b/src/services/dispatch/UpstreamState.ts
@@ -50,12 +50,17 @@
   private coldUntilMs = -Infinity;
   private coldPace: decisions.ColdStartBucket | undefined;
   private isMisdirected = false;
+  private currentHold: decisions.UpstreamHold;
 
-  /** @param record The upstream's record in the store. */
-  constructor(record: entry.UpstreamRecord) {
+  /**
+   * @param record The upstream's record in the store.
+   * @param hold What this start of the upstream has said before about new requests.
+   */
+  constructor(record: entry.UpstreamRecord, hold = decisions.NO_HOLD) {
     this.upstreamId = record.upstreamId;
     this.hash = decisions.getHash(record.upstreamId);
     this.currentRecord = record;
+    this.currentHold = hold;
   }
 
   /** The upstream's latest record. */
@@ -63,6 +68,11 @@
     return this.currentRecord;
   }
 
+  /** What the upstream has said about new requests. */
+  get hold(): decisions.UpstreamHold {
+    return this.currentHold;
+  }
+
   /** The number of this process's requests that are in flight to the upstream. */
   get ownInFlightCount(): number {
     return this.inFlightSentAtMs.size;
@@ -89,6 +99,16 @@
     this.coldUntilMs = untilMs;
   }
 
+  /** Records that the upstream shuts down: this start of it gets no more requests. */
+  setLeaving(): void {
+    this.currentHold = {kind: 'leaving'};
+  }
+
+  /** Records that the upstream wants no requests for `pauseMs` milliseconds from now. */
+  extendPause(pauseMs: number, nowMs: number): void {
+    this.currentHold = decisions.extendPause(this.currentHold, pauseMs, nowMs);
+  }
+
   /** Whether the upstream is cold and gets few requests. */
   isCold(nowMs: number): boolean {
     return nowMs < this.coldUntilMs;
@@ -194,6 +214,7 @@
 
   private isAvailable(coldRatePerSecond: number, nowMs: number): boolean {
     if (this.isMisdirected || nowMs < this.backoffUntilMs) return false;
+    if (decisions.isHeld(this.currentHold, nowMs)) return false;
     if (this.isUnresponsive(nowMs)) return false;
     if (!this.isCold(nowMs) || this.coldPace === undefined) return true;
     this.coldPace = decisions.refillColdStartBucket(
--- a/src/services/dispatch/decideStep.ts
+++ b/src/services/dispatch/decideStep.ts
@@ -56,6 +56,12 @@
         'noUpstream',
         `${upstreamId} could not be reached: ${result.reason}`,
       );
+    case 'withheld':
+      return retry(
+        'notRun',
+        'noUpstream',
+        `${upstreamId} stopped accepting requests`,
+      );
     case 'broken':
       return getStepAfterPossibleRun(
         mayRetry,
--- a/src/services/members/MembersMessage.ts
+++ b/src/services/members/MembersMessage.ts
@@ -26,12 +26,27 @@
   readonly isConnected: boolean;
 }
 
+/** Another VM received a response in which an upstream said that it leaves. */
+export interface UpstreamLeaving {
+  readonly kind: 'upstreamLeaving';
+  readonly start: entry.UpstreamStart;
+}
+
 /** The messages that the members service receives. */
 export type MembersMessage =
   | {
       readonly kind: 'subscribe';
       readonly subscriber: kernel.Address<MembersChanged>;
     }
+  | {
+      readonly kind: 'subscribeLeavingUpstreams';
+      readonly subscriber: kernel.Address<UpstreamLeaving>;
+    }
+  /** Informs all peers that an upstream told this VM that it leaves. */
+  | {
+      readonly kind: 'announceLeavingUpstream';
+      readonly start: entry.UpstreamStart;
+    }
   | knowledgeService.OperatorRowsChanged
   | knowledgeService.UpstreamRowsChanged
   /** Sends this VM's use of the organisations' limits to all peers at once. */
--- a/src/services/members/MembersTask.ts
+++ b/src/services/members/MembersTask.ts
@@ -27,6 +27,10 @@
 /** The delay in milliseconds before a failed call to the store is retried while no rows have been read. */
 const RETRY_DELAY_MS = 400;
 
+/** How often peers are told of an upstream that leaves; datagrams can get lost. */
+const LEAVING_ANNOUNCEMENT_COUNT = 2;
+const LEAVING_ANNOUNCEMENT_INTERVAL_MS = 500;
+
 /**
  * Owns the datagram socket on which VMs exchange their statuses, registers this VM in the store, and publishes to
  * subscribers which VMs are running.
@@ -35,6 +39,8 @@
   private readonly self: entry.MemberRecord;
   private readonly address: entry.SocketAddress;
   private readonly subscribers: kernel.Address<messages.MembersChanged>[] = [];
+  private readonly leavingSubscribers: kernel.Address<messages.UpstreamLeaving>[] =
+    [];
   private readonly socket = dgram.createSocket('udp4');
   private members: decisions.MemberTable = new Map();
   private registry: decisions.MemberRegistry | undefined;
@@ -91,6 +97,12 @@
         this.subscribers.push(message.subscriber);
         this.publish();
         return;
+      case 'subscribeLeavingUpstreams':
+        this.leavingSubscribers.push(message.subscriber);
+        return;
+      case 'announceLeavingUpstream':
+        this.announceLeaving(message.start, LEAVING_ANNOUNCEMENT_COUNT);
+        return;
       case 'operatorRowsChanged':
         this.operatorRowsVersion = message.rows.tableVersion;
         return;
@@ -253,17 +265,31 @@
     );
   }
 
-  /** Sends this VM's status to every peer that is registered in the store or has sent a status itself. */
+  /** Sends this VM's status to every peer. */
   private sendStatus(): void {
     if (this.isStopped && !this.isLeaving) return;
+    this.sendToPeers(codecs.encodeMemberStatus(this.getStatus()));
+  }
+
+  private announceLeaving(
+    start: entry.UpstreamStart,
+    remainingCount: number,
+  ): void {
+    if (this.isStopped || remainingCount <= 0) return;
+    this.sendToPeers(codecs.encodeUpstreamLeaving(start));
+    this.getContext().timers.after(LEAVING_ANNOUNCEMENT_INTERVAL_MS, () =>
+      this.announceLeaving(start, remainingCount - 1),
+    );
+  }
+
+  /** Sends a datagram to every peer that is registered in the store or has sent a status itself. */
+  private sendToPeers(bytes: Uint8Array): void {
     const targets = new Set(
       this.getRegisteredPeers().map(peer => peer.peersAddress),
     );
     for (const {status} of this.members.values())
       targets.add(status.member.peersAddress);
     targets.delete(this.self.peersAddress);
-    if (targets.size === 0) return;
-    const bytes = codecs.encodeMemberStatus(this.getStatus());
     for (const target of targets) {
       const {host, port} = codecs.parseSocketAddress(target);
       this.socket.send(bytes, port, host, thrown => {
@@ -284,14 +310,28 @@
   }
 
   private handleDatagram(bytes: Uint8Array): void {
-    let status: entry.MemberStatus;
+    let datagram: codecs.MemberDatagram;
     try {
-      status = codecs.decodeMemberStatus(bytes);
+      datagram = codecs.decodeMemberDatagram(bytes);
     } catch (thrown) {
       const {message} = errors.toError(thrown);
       this.log('warn', 'datagramUnreadable', {message});
       return;
     }
+    switch (datagram.kind) {
+      case 'status':
+        this.handleStatus(datagram.status);
+        return;
+      case 'upstreamLeaving':
+        for (const subscriber of this.leavingSubscribers)
+          subscriber.post(datagram);
+        return;
+      default:
+        errors.throwUnreachable(datagram);
+    }
+  }
+
+  private handleStatus(status: entry.MemberStatus): void {
     const {vmId} = status.member;
     if (vmId === this.self.vmId) return;
     const previous = this.members.get(vmId);
--- a/standins/emulator/Emulation.ts
+++ b/standins/emulator/Emulation.ts
@@ -107,7 +107,7 @@
 
   private createVm(region: string): EmulatedVm {
     const register = new registers.UpstreamRegistry(new headers.HeaderCodec());
-    register.setRecords(this.records);
+    register.setRecords(this.records, this.nowMs);
     const balance = new balances.RegionBalancer(region, register);
     balance.update([SERVICE_ID], [], 0);
     return {region, register, balance};
--- a/standins/store/FakeUpstream.ts
+++ b/standins/store/FakeUpstream.ts
@@ -63,6 +63,12 @@
   /** The number of concurrent requests that the upstream advertises; it isn't enforced. */
   slotCount = 8;
 
+  /** Whether the upstream says in all its responses that it shuts down; it goes on serving. */
+  isLeaving = false;
+
+  /** The values of the retry-after header in responses of the mode `shed`; one header line each. */
+  retryAfterValues: readonly string[] = [];
+
   /** The number of requests received, run or not. */
   arrivalCount = 0;
 
@@ -133,6 +139,7 @@
     response: http.ServerResponse,
   ): Promise<void> {
     this.arrivalCount += 1;
+    if (this.isLeaving) response.setHeader('server-leaving', '1');
     const chunks: Buffer[] = [];
     for await (const chunk of request) chunks.push(chunk as Buffer);
     const requestId = String(request.headers['x-request-id'] ?? '');
@@ -150,6 +157,8 @@
       return;
     }
     if (this.mode === 'shed') {
+      if (this.retryAfterValues.length > 0)
+        response.setHeader('retry-after', this.retryAfterValues);
       response
         .writeHead(503, {'x-not-executed': '1', 'x-request-id': requestId})
         .end();
--- a/test/platform/HeaderCodec.test.ts
+++ b/test/platform/HeaderCodec.test.ts
@@ -93,4 +93,38 @@
       earl.expect(unreadableLoad.load).toEqual(undefined);
     },
   );
+
+  void test.it('decodes that an upstream leaves or wants a pause', () => {
+    const decode = (
+      httpStatus: number,
+      headers: Record<string, string | string[]>,
+    ) => codec.decodeAnswer(httpStatus, headers);
+    earl.expect(decode(200, {}).notices).toEqual([]);
+    const leaving = decode(200, {'server-leaving': '1'});
+    earl.expect(leaving.notices).toEqual([{kind: 'leaving'}]);
+    earl.expect(leaving.headers).toEqual([]);
+    earl
+      .expect(
+        decode(503, {'server-leaving': '1', 'retry-after': '1.5'}).notices,
+      )
+      .toEqual([{kind: 'leaving'}, {kind: 'pause', pauseMs: 1500}]);
+    // Only a 503 says that the upstream wants no requests.
+    earl.expect(decode(429, {'retry-after': '2'}).notices).toEqual([]);
+  });
+
+  for (const value of ['', '-1', 'soon', '1e3', 'Infinity', '0x10', ['1', '2']])
+    void test.it(
+      `reads no pause from the value ${JSON.stringify(value)}`,
+      () => {
+        const headers: Record<string, string | string[]> = {
+          'retry-after': value,
+        };
+        const {notices} = codec.decodeAnswer(503, headers);
+        earl
+          .expect(notices)
+          .toEqual([
+            {kind: 'unreadable', header: 'retry-after', value: String(value)},
+          ]);
+      },
+    );
 });
--- a/test/services/dispatch/RegionBalancer.test.ts
+++ b/test/services/dispatch/RegionBalancer.test.ts
@@ -48,7 +48,7 @@
 /** Gets the fraction of its callers' objects that a VM in aqaba leaves in aqaba after the simulated time. */
 function getOwnRegionShare(boundSlots: ReadonlyMap<string, number>): number {
   const registry = new registries.UpstreamRegistry(new headers.HeaderCodec());
-  registry.setRecords(getRecords());
+  registry.setRecords(getRecords(), 0);
   const balancer = new balancers.RegionBalancer('aqaba', registry);
   const statuses = [
     getStatus('aqaba', 8, boundSlots),
@@ -76,7 +76,7 @@
 
   void test.it('counts bound requests by their region', () => {
     const registry = new registries.UpstreamRegistry(new headers.HeaderCodec());
-    registry.setRecords(getRecords());
+    registry.setRecords(getRecords(), 0);
     const balancer = new balancers.RegionBalancer('irbid', registry);
     for (let count = 0; count < 4; count++)
       balancer.addInFlight(SERVICE, 'aqaba', 1, 0);
@@ -86,11 +86,13 @@
       ...getStatus('irbid', 0, new Map()),
       serviceDemands: balancer.getOwnDemands(),
     };
-    const decoded = codecs.decodeMemberStatus(
+    const decoded = codecs.decodeMemberDatagram(
       codecs.encodeMemberStatus(status),
     );
+    const demands =
+      decoded.kind === 'status' ? decoded.status.serviceDemands : [];
     earl
-      .expect(decoded.serviceDemands)
+      .expect(demands)
       .toEqual([
         {serviceId: SERVICE, busySlots: 1, boundSlots: new Map([['aqaba', 4]])},
       ]);
--- a/test/services/dispatch/UpstreamConnections.test.ts
+++ b/test/services/dispatch/UpstreamConnections.test.ts
@@ -31,6 +31,7 @@
     remainingMs: 20_000,
     needsNewConnection: false,
     isStillEligible: () => true,
+    onNotice: () => {},
     abandoned: new AbortController().signal,
   };
 }
@@ -109,7 +110,7 @@
       );
       isEligible = false;
       const {result, upstream} = await sending;
-      earl.expect(result.kind).toEqual('notSent');
+      earl.expect(result.kind).toEqual('withheld');
       earl.expect(upstream.arrivalCount).toEqual(0);
     },
   );
--- a/test/services/dispatch/UpstreamRegistry.test.ts
+++ b/test/services/dispatch/UpstreamRegistry.test.ts
@@ -32,7 +32,7 @@
     const farRecords = ['x', 'y'].map(id =>
       records.getUpstreamRecord(id, {region: 'irbid'}),
     );
-    registry.setRecords([...nearRecords, ...farRecords]);
+    registry.setRecords([...nearRecords, ...farRecords], 0);
     registry.setShares('desk', new Map([['amman', 1]]));
     const firstCounts = countFirstRanked(registry);
     earl.expect([...firstCounts.keys()].sort()).toEqual(['a', 'b', 'c']);
@@ -45,11 +45,14 @@
       const registry = new registries.UpstreamRegistry(
         new headers.HeaderCodec(),
       );
-      registry.setRecords([
-        records.getUpstreamRecord('a'),
-        records.getUpstreamRecord('b', {failureDomain: 'amman-b'}),
-        records.getUpstreamRecord('c', {state: 'draining'}),
-      ]);
+      registry.setRecords(
+        [
+          records.getUpstreamRecord('a'),
+          records.getUpstreamRecord('b', {failureDomain: 'amman-b'}),
+          records.getUpstreamRecord('c', {state: 'draining'}),
+        ],
+        0,
+      );
       earl
         .expect([...countFirstRanked(registry).keys()].sort())
         .toEqual(['a', 'b']);
@@ -72,9 +75,9 @@
       const isUsable = (
         change: Parameters<typeof records.getUpstreamRecord>[1],
       ) => {
-        registry.setRecords([records.getUpstreamRecord('a')]);
+        registry.setRecords([records.getUpstreamRecord('a')], 0);
         const previous = registry.get('a')?.state;
-        registry.setRecords([records.getUpstreamRecord('a', change)]);
+        registry.setRecords([records.getUpstreamRecord('a', change)], 0);
         return previous !== undefined && registry.isUsable(previous);
       };
       earl.expect(isUsable({slotCount: 3})).toEqual(true);
@@ -85,7 +88,7 @@
       earl.expect(registry.isUsable(state)).toEqual(false);
       registry.setEvacuatedDomains([]);
       earl.expect(registry.isUsable(state)).toEqual(true);
-      registry.setRecords([]);
+      registry.setRecords([], 0);
       earl.expect(registry.isUsable(state)).toEqual(false);
       await registry.close();
     },
@@ -93,15 +96,108 @@
 
   void test.it('treats a restarted upstream as a new one', async () => {
     const registry = new registries.UpstreamRegistry(new headers.HeaderCodec());
-    registry.setRecords([records.getUpstreamRecord('a')]);
+    registry.setRecords([records.getUpstreamRecord('a')], 0);
     registry.get('a')?.state.setMisdirected();
-    const events = registry.setRecords([
-      records.getUpstreamRecord('a', {startedAtMs: 2}),
-    ]);
+    const events = registry.setRecords(
+      [records.getUpstreamRecord('a', {startedAtMs: 2})],
+      0,
+    );
     earl.expect(events.map(event => event.kind)).toEqual(['added']);
     earl
       .expect(registry.get('a')?.state.getView('', 'amman', 0, 0).isAvailable)
       .toEqual(true);
     await registry.close();
   });
+
+  void test.it(
+    'keeps a start of an upstream that leaves unusable, not a later start',
+    async () => {
+      const registry = new registries.UpstreamRegistry(
+        new headers.HeaderCodec(),
+      );
+      const record = records.getUpstreamRecord('a');
+      const setAndGetUsable = (next: readonly (typeof record)[]) => {
+        registry.setRecords(next, 0);
+        return [...registry.getAll()].map(({state}) =>
+          registry.isUsable(state),
+        );
+      };
+      earl.expect(setAndGetUsable([record])).toEqual([true]);
+      earl.expect(registry.setLeaving(record, 0)).toEqual(true);
+      earl.expect(registry.setLeaving(record, 0)).toEqual(false);
+      earl.expect(setAndGetUsable([record])).toEqual([false]);
+      const ranked = registry.rank({
+        serviceId: 'desk',
+        objectName: '/desk/1',
+        homeRegions: undefined,
+        random: 0,
+      });
+      earl.expect(ranked).toEqual([]);
+      // The row expires while the store is away and comes back with it.
+      earl.expect(setAndGetUsable([])).toEqual([]);
+      earl.expect(setAndGetUsable([record])).toEqual([false]);
+      const restarted = {...record, startedAtMs: 2};
+      earl.expect(setAndGetUsable([restarted])).toEqual([true]);
+      earl.expect(registry.setLeaving(record, 0)).toEqual(false);
+      earl.expect(setAndGetUsable([restarted])).toEqual([true]);
+      await registry.close();
+    },
+  );
+
+  void test.it(
+    'marks an upstream whose row arrives after the news that it leaves',
+    async () => {
+      const registry = new registries.UpstreamRegistry(
+        new headers.HeaderCodec(),
+      );
+      const record = records.getUpstreamRecord('a');
+      registry.setLeaving(record, 0);
+      registry.setRecords([record], 0);
+      const [{state}] = registry.getAll();
+      earl.expect(registry.isUsable(state)).toEqual(false);
+      await registry.close();
+    },
+  );
+
+  void test.it('ranks others instead of paused upstreams', async () => {
+    const registry = new registries.UpstreamRegistry(new headers.HeaderCodec());
+    const ids = ['a', 'b', 'c', 'd', 'e', 'f'];
+    registry.setRecords(
+      ids.map(id => records.getUpstreamRecord(id)),
+      0,
+    );
+    const query = {
+      serviceId: 'desk',
+      objectName: '/desk/1',
+      homeRegions: undefined,
+      random: 0,
+    };
+    const ranked = registry.rank(query);
+    for (const [index, id] of ranked.entries())
+      registry.get(id)?.state.extendPause(1000 + index, 0);
+    earl.expect(registry.isAnyPaused(ranked, 999)).toEqual(true);
+    const open = registry.rankOpen(query, [], 999);
+    earl
+      .expect([...open].sort())
+      .toEqual(ids.filter(id => !ranked.includes(id)));
+    earl.expect(registry.getFirstPauseEndMs(query, 999)).toEqual(undefined);
+    for (const id of open) registry.get(id)?.state.extendPause(5000, 0);
+    earl.expect(registry.rankOpen(query, [], 999)).toEqual([]);
+    earl.expect(registry.getFirstPauseEndMs(query, 999)).toEqual(1000);
+    earl.expect(registry.rankOpen(query, [], 1000)).toEqual([ranked[0]]);
+    await registry.close();
+  });
+
+  void test.it('keeps a pause while the row is missing', async () => {
+    const registry = new registries.UpstreamRegistry(new headers.HeaderCodec());
+    const record = records.getUpstreamRecord('a');
+    registry.setRecords([record], 0);
+    registry.get('a')?.state.extendPause(3000, 0);
+    registry.setRecords([], 100);
+    registry.setRecords([record], 200);
+    const [{state}] = registry.getAll();
+    earl.expect(registry.isOpen(state, 2999)).toEqual(false);
+    earl.expect(registry.isOpen(state, 3000)).toEqual(true);
+    await registry.close();
+  });
 });
