Serve borrowed requests over the network, and give true retry times

Cause: the table of methods that daemons serve lacked borrowRequests, so that a lender on another VM lent nothing; tests of the virtual fleet called the handler directly and could not show it.

Change: PeerRpcServer holds the table, whose type requires an entry for each kind of request; the virtual fleet uses it. The retry time follows from the rate of the active shares, or from the next end of a grant, a loan or a share.

--- a/src/decisions/limits/advanceBucket.ts
+++ b/src/decisions/limits/advanceBucket.ts
@@ -12,6 +12,31 @@
   return (shareCount * limits.burstTokens) / limits.slotCount;
 }
 
+/** Gets the rate at which the bucket's active shares refill it, in tokens per second. */
+export function getActiveRatePerSecond(
+  state: bucketStates.BucketState,
+  limits: bucketStates.BucketLimits,
+): number {
+  const shareCount = countActiveShares(state, state.updatedAtMs);
+  return (shareCount * limits.ratePerSecond) / limits.slotCount;
+}
+
+/**
+ * Gets the next monotonic time in milliseconds at which a share starts or ends, or a loan or a grant ends; Infinity
+ * if there is none.
+ */
+export function getNextChangeMs(state: bucketStates.BucketState): number {
+  let nextMs = Infinity;
+  for (const share of state.shares) {
+    if (share.fromMs > state.updatedAtMs)
+      nextMs = Math.min(nextMs, share.fromMs);
+    nextMs = Math.min(nextMs, share.untilMs);
+  }
+  for (const lent of state.lent) nextMs = Math.min(nextMs, lent.deadlineMs);
+  for (const grant of state.grants) nextMs = Math.min(nextMs, grant.deadlineMs);
+  return nextMs;
+}
+
 /** Gets the number of tokens in grants that are not settled yet. */
 export function getOutstandingTokens(state: bucketStates.BucketState): number {
   return state.grants.reduce((sum, grant) => sum + grant.tokens, 0);
@@ -28,8 +53,8 @@
 ): bucketStates.BucketState {
   let current = state;
   for (;;) {
-    const boundaryMs = getNextBoundaryMs(current, nowMs);
-    if (boundaryMs === undefined) return refill(current, limits, nowMs);
+    const boundaryMs = getNextChangeMs(current);
+    if (boundaryMs > nowMs) return refill(current, limits, nowMs);
     current = applyBoundary(refill(current, limits, boundaryMs), boundaryMs);
     current = clipLevel(current, limits);
   }
@@ -66,12 +91,11 @@
 ): bucketStates.BucketState {
   const elapsedMs = toMs - state.updatedAtMs;
   if (elapsedMs <= 0) return state;
-  const shareCount = countActiveShares(state, state.updatedAtMs);
-  const fraction = shareCount / limits.slotCount;
   const refillTokens =
-    (fraction * limits.ratePerSecond * elapsedMs) / MS_PER_SECOND;
+    (getActiveRatePerSecond(state, limits) * elapsedMs) / MS_PER_SECOND;
   const maxLevelTokens =
-    fraction * limits.burstTokens - getOutstandingTokens(state);
+    getCapacityTokens(state, limits, state.updatedAtMs) -
+    getOutstandingTokens(state);
   const levelTokens = Math.max(
     state.levelTokens,
     Math.min(maxLevelTokens, state.levelTokens + refillTokens),
@@ -79,21 +103,6 @@
   return {...state, levelTokens, updatedAtMs: toMs};
 }
 
-function getNextBoundaryMs(
-  state: bucketStates.BucketState,
-  nowMs: number,
-): number | undefined {
-  let nextMs = Infinity;
-  for (const share of state.shares) {
-    if (share.fromMs > state.updatedAtMs)
-      nextMs = Math.min(nextMs, share.fromMs);
-    nextMs = Math.min(nextMs, share.untilMs);
-  }
-  for (const lent of state.lent) nextMs = Math.min(nextMs, lent.deadlineMs);
-  for (const grant of state.grants) nextMs = Math.min(nextMs, grant.deadlineMs);
-  return nextMs <= nowMs ? nextMs : undefined;
-}
-
 function applyBoundary(
   state: bucketStates.BucketState,
   atMs: number,
--- a/src/decisions/limits/applyBucketEvent.ts
+++ b/src/decisions/limits/applyBucketEvent.ts
@@ -75,9 +75,23 @@
   limits: bucketStates.BucketLimits,
   tokens: number,
 ): bucketEvents.BucketOutcome {
+  return {kind: 'refused', retryAtMs: getRetryAtMs(state, limits, tokens)};
+}
+
+/** Gets the monotonic time in milliseconds at which the bucket may hold `tokens`, if it gets no other request. */
+function getRetryAtMs(
+  state: bucketStates.BucketState,
+  limits: bucketStates.BucketLimits,
+  tokens: number,
+): number {
   const missingTokens = tokens - state.levelTokens;
-  const waitMs = (missingTokens / limits.ratePerSecond) * MS_PER_SECOND;
-  return {kind: 'refused', retryAtMs: state.updatedAtMs + waitMs};
+  const ratePerSecond = advancing.getActiveRatePerSecond(state, limits);
+  if (missingTokens > 0 && ratePerSecond > 0)
+    return state.updatedAtMs + (missingTokens / ratePerSecond) * MS_PER_SECOND;
+  const nextChangeMs = advancing.getNextChangeMs(state);
+  return nextChangeMs < Infinity
+    ? nextChangeMs
+    : state.updatedAtMs + (tokens / limits.ratePerSecond) * MS_PER_SECOND;
 }
 
 function lend(
--- a/src/services/peers/PeersTask.ts
+++ b/src/services/peers/PeersTask.ts
@@ -1,13 +1,12 @@
 import * as h3 from 'h3';
-import * as jsonRpc from 'json-rpc-2.0';
 import * as undici from 'undici';
 import * as codecs from '../../codecs/index.js';
 import * as errors from '../../model/errors/index.js';
-import type * as peers from '../../model/peers/index.js';
 import * as base from '../base/index.js';
 import * as http from '../http/index.js';
 import * as metrics from '../metrics/index.js';
-import * as answering from './answerPeerRequest.js';
+import * as rpc from './peerRpcMessages.js';
+import * as servers from './PeerRpcServer.js';
 import type * as messages from './PeersMessage.js';
 
 const MAX_CONNECTIONS = 8;
@@ -15,26 +14,12 @@
 const HTTP_OK = 200;
 const HTTP_UNAUTHORIZED = 401;
 
-const METHODS: readonly peers.PeerRequest['kind'][] = [
-  'heartbeat',
-  'borrowShares',
-  'returnShares',
-  'takeTokens',
-  'settleTokens',
-  'askClaim',
-  'reportBreak',
-  'getSharedState',
-  'getKnowledge',
-];
-
 /** Owns the peers' listener, which serves the requests of other daemons, and the connections to other daemons. */
 export class PeersTask extends base.ServiceTask<messages.PeersMessage> {
   private readonly secret: string;
   private readonly localAddress: string;
   private readonly listener: http.HttpListener;
-  private readonly rpcServer = new jsonRpc.JSONRPCServer({
-    errorListener: () => {},
-  });
+  private rpcServer: servers.PeerRpcServer | undefined;
   private readonly pools = new Map<string, undici.Pool>();
   private nextCallId = 1;
 
@@ -46,19 +31,13 @@
     super();
     this.secret = secret;
     this.localAddress = address.host;
-    for (const method of METHODS)
-      this.rpcServer.addMethod(method, params => this.answer(method, params));
-    this.rpcServer.mapErrorToJSONRPCErrorResponse = (id, thrown) => {
-      const error = errors.toError(thrown);
-      const {rpcCode} = errors.ERROR_ANSWERS[error.kind];
-      return jsonRpc.createJSONRPCErrorResponse(id, rpcCode, error.message);
-    };
     const app = new h3.H3();
     app.post('/rpc', event => this.handleHttpRequest(event));
     this.listener = new http.HttpListener(address, h3.toNodeHandler(app));
   }
 
   protected override async onStart(): Promise<void> {
+    this.rpcServer = new servers.PeerRpcServer(this.getContext().services);
     await this.listener.open();
   }
 
@@ -86,22 +65,7 @@
       event.res.status = HTTP_UNAUTHORIZED;
       return '';
     }
-    return await this.rpcServer.receiveJSON(await event.req.text());
-  }
-
-  private async answer(
-    method: peers.PeerRequest['kind'],
-    params: object,
-  ): Promise<peers.PeerAnswer> {
-    const request = codecs.parseOrThrow(
-      codecs.peerRequestSchema,
-      {...params, kind: method},
-      'invalidPeerMessage',
-    );
-    return await answering.answerPeerRequest(
-      this.getContext().services,
-      request,
-    );
+    return await this.rpcServer?.receive(await event.req.text());
   }
 
   private async call(
@@ -122,7 +86,6 @@
     message: Extract<messages.PeersMessage, {kind: 'call'}>,
     remainingMs: number,
   ): Promise<messages.CallResult> {
-    const {kind: method, ...params} = message.request;
     const id = this.nextCallId++;
     const timeout = new http.ReadTimeout(remainingMs);
     try {
@@ -133,12 +96,12 @@
           authorization: `Bearer ${this.secret}`,
           'content-type': 'application/json',
         },
-        body: JSON.stringify(jsonRpc.createJSONRPCRequest(id, method, params)),
+        body: rpc.encodePeerRequest(message.request, id),
         signal: timeout.signal,
       });
       const text = await response.body.text();
       if (response.statusCode !== HTTP_OK) return {kind: 'failed'};
-      return decodeAnswer(text, id);
+      return rpc.decodePeerResponse(text, id);
     } catch (thrown) {
       const code = (thrown as {readonly code?: string}).code;
       return {kind: code === 'ECONNREFUSED' ? 'connectionRefused' : 'failed'};
@@ -160,16 +123,3 @@
     return pool;
   }
 }
-
-function decodeAnswer(text: string, id: number): messages.CallResult {
-  const response: unknown = JSON.parse(text);
-  if (!jsonRpc.isJSONRPCResponse(response) || response.id !== id)
-    return {kind: 'failed'};
-  if (response.error !== undefined) return {kind: 'failed'};
-  const answer = codecs.parseOrThrow(
-    codecs.peerAnswerSchema,
-    response.result,
-    'invalidPeerMessage',
-  );
-  return {kind: 'answered', answer};
-}
--- a/src/services/peers/index.ts
+++ b/src/services/peers/index.ts
@@ -1,3 +1,4 @@
-export * from './answerPeerRequest.js';
+export * from './peerRpcMessages.js';
+export * from './PeerRpcServer.js';
 export * from './PeersMessage.js';
 export * from './PeersTask.js';
--- a/test/support/virtual/Simulation.ts
+++ b/test/support/virtual/Simulation.ts
@@ -177,11 +177,14 @@
     request: Extract<services.PeersMessage, {kind: 'call'}>['request'],
     reply: kernel.Reply<services.CallResult>,
   ): void {
-    void services.answerPeerRequest(to.kernel, request).then(answer => {
+    const text = services.encodePeerRequest(request, CALL_ID);
+    void new services.PeerRpcServer(to.kernel).receive(text).then(response => {
       if (!to.isAlive) return;
-      this.deliverAnswer(from, to.address, () =>
-        reply({kind: 'answered', answer}),
+      const result = services.decodePeerResponse(
+        JSON.stringify(response),
+        CALL_ID,
       );
+      this.deliverAnswer(from, to.address, () => reply(result));
     });
   }
 
@@ -202,6 +205,9 @@
   }
 }
 
+/** Each virtual call has a connection of its own, so that identifiers need not differ. */
+const CALL_ID = 1;
+
 function replyOnce<R>(reply: kernel.Reply<R>): kernel.Reply<R> {
   let isAnswered = false;
   return answer => {
