Recover from unreadable claims, a taken datagram port and early refusals

Cause, each found by reading: an unreadable claim threw in a promise that nobody awaited, so that the batch got no result and no later claim was written; a failed bind of the members' socket left the start of the daemon pending for good; a refusal before the first tick of the shares service gave a retry time counted from 0; clearing a platform fault of one virtual node hid later faults of the fleet from it.

Change: an unreadable row counts as a failed read where a claim is looked up, is left out of listings, and is logged; a failed bind fails the start.

--- a/src/services/members/MembersTask.ts
+++ b/src/services/members/MembersTask.ts
@@ -70,12 +70,16 @@
     this.socket.on('message', bytes =>
       this.getAddress().post({kind: 'datagram', bytes}),
     );
+    await new Promise<void>((resolve, reject) => {
+      this.socket.once('error', reject);
+      this.socket.bind(this.address.port, this.address.host, () => {
+        this.socket.off('error', reject);
+        resolve();
+      });
+    });
     this.socket.on('error', thrown =>
       this.log('warn', 'datagramFailed', {message: thrown.message}),
     );
-    await new Promise<void>(resolve =>
-      this.socket.bind(this.address.port, this.address.host, resolve),
-    );
     const knowledge = this.getService(knowledgeService.KNOWLEDGE);
     const subscriber = this.getAddress();
     knowledge.post({kind: 'subscribeOperatorRows', subscriber});
--- a/src/services/operations/ClaimWriter.ts
+++ b/src/services/operations/ClaimWriter.ts
@@ -3,6 +3,7 @@
 import * as errors from '../../model/errors/index.js';
 import type * as operations from '../../model/operations/index.js';
 import type * as platform from '../../model/platform/index.js';
+import * as logs from '../logs/index.js';
 import * as platformService from '../platform/index.js';
 
 /** Maximum number of claims in one transaction. */
@@ -138,45 +139,65 @@
   readonly claim: operations.Claim;
 }
 
-/**
- * Reads the claims with the given row keys; undefined when the table can't be read.
- * @throws BramleyrunError when a row is invalid.
- */
+/** Reads the claims with the given row keys; undefined when the table or one of the rows can't be read. */
 export async function readClaims(
   services: kernel.ServiceDirectory,
   rowKeys: readonly string[],
 ): Promise<readonly ClaimRow[] | undefined> {
-  return await readClaimRows(services, {kind: 'keys', keys: rowKeys});
+  const rows = await readClaimRows(services, {kind: 'keys', keys: rowKeys});
+  if (rows === undefined) return undefined;
+  // An invalid row is not the same as no row: its claim may stand.
+  const claims = rows.flatMap(row => decodeClaimRow(services, row) ?? []);
+  return claims.length === rows.length ? claims : undefined;
 }
 
 /**
- * Reads up to `limit` claims in the order of their row keys; undefined when the table can't be read.
- * @throws BramleyrunError when a row is invalid.
+ * Reads up to `limit` claims in the order of their row keys, without those whose rows are invalid; undefined when the
+ * table can't be read.
  */
 export async function readAllClaims(
   services: kernel.ServiceDirectory,
   limit: number,
 ): Promise<readonly ClaimRow[] | undefined> {
   const prefix = codecs.CLAIM_ROW_PREFIX;
-  return await readClaimRows(services, {
+  const rows = await readClaimRows(services, {
     kind: 'prefix',
     prefix,
     afterKey: '',
     limit,
   });
+  return rows?.flatMap(row => decodeClaimRow(services, row) ?? []);
 }
 
 async function readClaimRows(
   services: kernel.ServiceDirectory,
   request: codecs.ReadRequest,
-): Promise<readonly ClaimRow[] | undefined> {
+): Promise<readonly platform.TableRow[] | undefined> {
   const result = await services
     .getOrThrow(platformService.PLATFORM)
     .ask<platform.ReadResult>(reply => ({kind: 'read', request, reply}));
-  if (result.kind === 'unavailable') return undefined;
-  return result.rows.map(row => ({
-    rowKey: row.key,
-    rowVersion: row.version,
-    claim: codecs.parseJsonOrThrow(codecs.claimSchema, row.value, 'invalidRow'),
-  }));
+  return result.kind === 'unavailable' ? undefined : result.rows;
+}
+
+/** Decodes a claim's row; logs an invalid one and returns undefined. */
+function decodeClaimRow(
+  services: kernel.ServiceDirectory,
+  row: platform.TableRow,
+): ClaimRow | undefined {
+  try {
+    const claim = codecs.parseJsonOrThrow(
+      codecs.claimSchema,
+      row.value,
+      'invalidRow',
+    );
+    return {rowKey: row.key, rowVersion: row.version, claim};
+  } catch (thrown) {
+    services.getOrThrow(logs.LOG).post({
+      kind: 'event',
+      level: 'error',
+      name: 'rowUnreadable',
+      fields: {row: row.key, message: errors.toError(thrown).message},
+    });
+    return undefined;
+  }
 }
--- a/src/services/shares/SharesTask.ts
+++ b/src/services/shares/SharesTask.ts
@@ -60,6 +60,7 @@
   }
 
   protected override async onStart(): Promise<void> {
+    this.lastTickAtMs = this.nowMs();
     const subscriber = this.getAddress();
     this.getService(knowledgeService.KNOWLEDGE).post({
       kind: 'subscribeOperatorRows',
--- a/test/services/peers/PeersTask.test.ts
+++ b/test/services/peers/PeersTask.test.ts
@@ -3,33 +3,20 @@
 import * as kernel from '../../../src/kernel/index.js';
 import type * as peers from '../../../src/model/peers/index.js';
 import * as services from '../../../src/services/index.js';
+import * as stubs from '../../support/services/StubTask.js';
 
 const SECRET = 'secret';
 const CALL_TIMEOUT_MS = 5000;
 const LENT_COUNT = 3;
 
-/** Replaces a service; handles its messages with a function. */
-class StubTask<M> extends kernel.Task<M> {
-  private readonly handle: (message: M) => void;
-
-  constructor(handle: (message: M) => void = () => {}) {
-    super();
-    this.handle = handle;
-  }
-
-  protected override receive(message: M): void {
-    this.handle(message);
-  }
-}
-
 /** Starts the peers service with a shares service that lends LENT_COUNT requests. */
 async function startDaemon(): Promise<kernel.Kernel> {
-  const shares = new StubTask<services.SharesMessage>(message => {
+  const shares = new stubs.StubTask<services.SharesMessage>(message => {
     if (message.kind === 'lend') message.reply(LENT_COUNT);
   });
   const daemon = new kernel.Kernel()
-    .add(services.LOG, new StubTask<services.LogMessage>())
-    .add(services.METRICS, new StubTask<services.MetricsMessage>())
+    .add(services.LOG, new stubs.StubTask<services.LogMessage>())
+    .add(services.METRICS, new stubs.StubTask<services.MetricsMessage>())
     .add(services.SHARES, shares)
     .add(
       services.PEERS,
--- a/test/support/virtual/Simulation.ts
+++ b/test/support/virtual/Simulation.ts
@@ -126,9 +126,10 @@
       else this.cutLinks.delete(link);
   }
 
-  /** Sets the platform fault for the node at an address, or for all nodes that have no setting of their own. */
+  /** Sets the platform fault for the node at an address, or for all nodes without a fault of their own. */
   setPlatformFault(fault: PlatformFault, address = ''): void {
-    this.platformFaults.set(address, fault);
+    if (fault === 'none') this.platformFaults.delete(address);
+    else this.platformFaults.set(address, fault);
   }
 
   /** Returns the platform fault that applies to the node at an address. */
