Leave organisations without use out of the VMs' statuses

Cause: every VM sends every other VM three numbers for each limited organisation each second; on the large deployment, 140 organisations over 79 VMs, most of them are zeros.

Change: a status names only the organisations with any use. Statuses in the earlier form are still read; VMs of earlier versions do not read the new form and take its sender for silent until they are replaced.

--- a/src/codecs/members/memberStatus.ts
+++ b/src/codecs/members/memberStatus.ts
@@ -12,6 +12,18 @@
 /** Demands are rounded to tenths, a step too small to affect the decisions based on them. */
 const DEMAND_STEPS_PER_UNIT = 10;
 
+/** The largest number of organisations that a status may claim to cover. */
+const MAX_ORGANISATIONS = 100_000;
+
+/** The numbers that a report holds for each organisation with any use. */
+const VALUES_PER_USE = 4;
+
+const NO_USE: entry.LimitUse = {
+  demandPerSecond: 0,
+  admittedCount: 0,
+  leavingCount: 0,
+};
+
 /**
  * For each service: its identifier, the slots occupied by requests that may run in any region, and, keyed by
  * region, the slots occupied by requests that are restricted to certain regions.
@@ -25,7 +37,7 @@
 );
 
 /**
- * The digest of the organisations' identifiers; whether the counts cover a full window; then, for each
+ * The report as VMs of earlier versions send it: the digest of the organisations' identifiers; whether the counts cover a full window; then, for each
  * organisation, the admitted requests, those that fall out of the window next, and the demand in tenths of a
  * request per second.
  */
@@ -37,6 +49,18 @@
   zod.array(zod.number().min(0)),
 ]);
 
+/**
+ * The digest of the organisations' identifiers, whether the counts cover a full window, and the number of
+ * organisations; then, for each organisation that has any use, its index, the admitted requests, those that fall out of
+ * the window next, and the demand in tenths of a request per second. Most organisations have no use on most VMs.
+ */
+const sparseLimitUseReportSchema = zod.tuple([
+  zod.number(),
+  zod.boolean(),
+  zod.int().min(0).max(MAX_ORGANISATIONS),
+  zod.array(zod.number().min(0)),
+]);
+
 /** The field names are short because every VM sends its status to every other VM each second. */
 const statusSchema = zod.strictObject({
   v: zod.string(),
@@ -49,6 +73,7 @@
   o: zod.int().min(0),
   u: zod.int().min(0),
   q: limitUseReportSchema.optional(),
+  w: sparseLimitUseReportSchema.optional(),
   s: serviceDemandsSchema.optional(),
 });
 
@@ -85,7 +110,7 @@
     ...(status.isLeaving ? {l: true} : {}),
     o: status.operatorRowsVersion,
     u: status.upstreamRowsVersion,
-    q: encodeLimitUseReport(status.limitUseReport),
+    w: encodeLimitUseReport(status.limitUseReport),
     s: status.serviceDemands.map(encodeServiceDemand),
   };
   return encodeDatagram(STATUS_METHOD, params);
@@ -144,7 +169,8 @@
     isLeaving: params.l ?? false,
     operatorRowsVersion: params.o,
     upstreamRowsVersion: params.u,
-    limitUseReport: decodeLimitUseReport(params.q),
+    limitUseReport:
+      decodeSparseLimitUseReport(params.w) ?? decodeLimitUseReport(params.q),
     serviceDemands: (params.s ?? []).map(
       ([serviceId, busySlots, regionBoundSlots]) => ({
         serviceId,
@@ -169,16 +195,39 @@
 
 function encodeLimitUseReport(
   report: entry.LimitUseReport | undefined,
-): zod.infer<typeof limitUseReportSchema> | undefined {
+): zod.infer<typeof sparseLimitUseReportSchema> | undefined {
   if (report === undefined) return undefined;
   const {organisationsDigest, isComplete, uses} = report;
-  return [
-    organisationsDigest,
-    isComplete,
-    uses.map(use => use.admittedCount),
-    uses.map(use => use.leavingCount),
-    uses.map(use => Math.round(use.demandPerSecond * DEMAND_STEPS_PER_UNIT)),
-  ];
+  const values: number[] = [];
+  for (const [index, use] of uses.entries()) {
+    const {admittedCount, leavingCount} = use;
+    const demand = Math.round(use.demandPerSecond * DEMAND_STEPS_PER_UNIT);
+    if (admittedCount === 0 && leavingCount === 0 && demand === 0) continue;
+    values.push(index, admittedCount, leavingCount, demand);
+  }
+  return [organisationsDigest, isComplete, uses.length, values];
+}
+
+function decodeSparseLimitUseReport(
+  encoded: zod.infer<typeof sparseLimitUseReportSchema> | undefined,
+): entry.LimitUseReport | undefined {
+  if (encoded === undefined) return undefined;
+  const [organisationsDigest, isComplete, organisationCount, values] = encoded;
+  const uses: entry.LimitUse[] =
+    Array<entry.LimitUse>(organisationCount).fill(NO_USE);
+  for (let at = 0; at + VALUES_PER_USE <= values.length; at += VALUES_PER_USE) {
+    const [index, admittedCount, leavingCount, demand] = values.slice(
+      at,
+      at + VALUES_PER_USE,
+    );
+    if (index < organisationCount)
+      uses[index] = {
+        admittedCount,
+        leavingCount,
+        demandPerSecond: demand / DEMAND_STEPS_PER_UNIT,
+      };
+  }
+  return {organisationsDigest, isComplete, uses};
 }
 
 function decodeLimitUseReport(
