Refuse what a planned stop would cut off, and keep answers behind others

Beside it, the answer of a pipelined request that was complete before that of the request in front of it was dropped, as the one in front closed the connection.

Change: isAdmittedWhileStopping refuses a request that must run at most once unless its deadline passes before connections are closed, and any other one with such a deadline once callers have had time to switch. Only the answer to the last request received on a connection closes it; requests behind such an answer do not run.

The test's caller counted only answers that began a line.

--- a/src/decisions/index.ts
+++ b/src/decisions/index.ts
@@ -12,5 +12,6 @@
 export * from './retries/index.js';
 export * from './routing/index.js';
 export * from './shares/index.js';
+export * from './shutdown/index.js';
 export * from './steering/index.js';
 export * from './upstreams/index.js';
--- /dev/null
+++ b/src/decisions/shutdown/index.ts
@@ -0,0 +1,1 @@
+export * from './isAdmittedWhileStopping.js';
--- a/src/services/entry/CallerExchange.ts
+++ b/src/services/entry/CallerExchange.ts
@@ -28,15 +28,15 @@
     return this.connection.disconnectedAtMs;
   }
 
-  /** The number of other unanswered requests on the same connection. */
-  get otherUnansweredCount(): number {
-    return this.connection.unansweredCount - 1;
+  /** Whether no request was received behind this one on the same connection. */
+  get isLastRequest(): boolean {
+    return this.connection.isLastRequest(this.controller);
   }
 
   /**
    * Writes an answer with its length.
    *
-   * @param shouldClose Whether to close the connection after the answer, unless other requests on it are unanswered.
+   * @param shouldClose Whether to close the connection after the answer, unless requests were received behind this one.
    */
   send(
     httpStatus: number,
@@ -45,15 +45,17 @@
     shouldClose: boolean,
   ): void {
     const {response} = this;
-    const isOnlyUnanswered = this.otherUnansweredCount === 0;
+    const {isLastRequest} = this;
     if (!this.endRequest()) return;
     const answerHeaders = [...headers, 'content-length', String(body.length)];
     // The unread rest of a request body would be parsed as the next request.
     const hasUnreadBody = !response.req.complete;
-    // Closing now would drop the requests pipelined behind this one, so only the last answer closes the connection.
-    if ((shouldClose && isOnlyUnanswered) || hasUnreadBody)
+    if ((shouldClose && isLastRequest) || hasUnreadBody) {
+      this.connection.setClosing();
       answerHeaders.push('connection', 'close');
-    else response.removeHeader('connection');
+    } else {
+      response.removeHeader('connection');
+    }
     response.writeHead(httpStatus, answerHeaders);
     response.end(body);
   }
@@ -62,6 +64,7 @@
   sendCloseDelimited({httpStatus, headers, body}: entry.EntryAnswer): void {
     const {response} = this;
     if (!this.endRequest()) return;
+    this.connection.setClosing();
     response.removeHeader('transfer-encoding');
     response.writeHead(httpStatus, [...headers, 'connection', 'close']);
     response.end(body);
--- a/src/services/entry/EntryFlow.ts
+++ b/src/services/entry/EntryFlow.ts
@@ -111,7 +111,8 @@
   }
 }
 
-function getDeadlineMs(
+/** Gets the monotonic time in milliseconds by which a request must have a final answer. */
+export function getDeadlineMs(
   request: entry.EntryRequest,
   route: entry.EntryRoute,
 ): number {
--- a/src/services/entry/EntryTask.ts
+++ b/src/services/entry/EntryTask.ts
@@ -62,7 +62,7 @@
   private membersView: membersService.MembersChanged | undefined;
   private flow: flows.EntryFlow | undefined;
   private hasUpstreams = false;
-  private isLeaving = false;
+  private lifecycle: decisions.Lifecycle = {kind: 'running'};
 
   /** @param options The callers' listen address, their codec and the bounds of the process. */
   constructor(options: EntryOptions) {
@@ -114,16 +114,19 @@
 
   /** Announces the stop to the other members, accepts callers for a while longer, finishes requests and closes. */
   protected override async onStop(): Promise<void> {
-    this.isLeaving = true;
+    const nowMs = this.nowMs();
+    const closesAtMs = nowMs + this.getGraceMs();
+    const steersAwayUntilMs = Math.min(
+      nowMs + DEREGISTRATION_DELAY_MS,
+      closesAtMs,
+    );
+    this.lifecycle = {kind: 'stopping', steersAwayUntilMs, closesAtMs};
     this.getService(membersService.MEMBERS).post({kind: 'leave'});
-    await this.wait(Math.min(DEREGISTRATION_DELAY_MS, this.getGraceMs()));
+    await this.waitUntil(steersAwayUntilMs);
     // No new connections are accepted from here on, so that all requests in progress can finish.
     this.acceptQueueMonitor.close();
     const closed = this.listener.close();
-    await Promise.race([
-      closed,
-      this.wait(this.getGraceMs() - DEREGISTRATION_DELAY_MS),
-    ]);
+    await Promise.race([closed, this.waitUntil(closesAtMs)]);
     this.listener.closeNow();
   }
 
@@ -162,6 +165,10 @@
     }
   }
 
+  private get isLeaving(): boolean {
+    return this.lifecycle.kind === 'stopping';
+  }
+
   /** Gets the earliest monotonic time in milliseconds at which data that is read now may have arrived. */
   private getEarliestArrivalMs(): number {
     const nowMs = this.nowMs();
@@ -330,6 +337,21 @@
         retryAtMs: this.nowMs() + UNREADY_RETRY_DELAY_MS,
       };
     const {route, organisation} = decision;
+    const {execution} = route;
+    const deadlineMs = flows.getDeadlineMs(request, route);
+    const isAdmitted = decisions.isAdmittedWhileStopping(
+      this.lifecycle,
+      {execution, deadlineMs},
+      this.nowMs(),
+    );
+    if (!isAdmitted)
+      return {
+        kind: 'failed',
+        error: 'stopping',
+        message: 'this VM stops before the request is certain to be answered',
+        // Other VMs serve already now.
+        retryAtMs: this.nowMs(),
+      };
     return await this.flow.run({request, route, organisation, abandoned});
   }
 
@@ -374,7 +396,7 @@
         exchange.send(httpStatus, headers, body, this.isLeaving);
         return;
       case 'connection':
-        if (exchange.otherUnansweredCount > 0)
+        if (!exchange.isLastRequest)
           // Closing the connection would drop the answers of requests behind it that have run or are running.
           this.writeFailure(exchange, requestId, {
             kind: 'failed',
@@ -417,8 +439,9 @@
     exchange.send(httpStatus, headers, EMPTY_BODY, this.isLeaving);
   }
 
-  private wait(delayMs: number): Promise<void> {
+  private waitUntil(atMs: number): Promise<void> {
     return new Promise(resolve => {
+      const delayMs = Math.max(0, atMs - this.nowMs());
       this.getContext().timers.after(delayMs, resolve);
     });
   }
--- a/src/services/http/CallerConnection.ts
+++ b/src/services/http/CallerConnection.ts
@@ -16,6 +16,8 @@
   private readonly unanswered = new Set<AbortController>();
   private disconnectedAt: number | undefined;
   private answeredCount = 0;
+  private lastRequest: AbortController | undefined;
+  private isClosing = false;
 
   /**
    * @param getNowMs Gets the monotonic time in milliseconds.
@@ -34,24 +36,39 @@
     socket.once('close', handleDisconnect);
   }
 
-  /** The number of unanswered requests on the connection. */
-  get unansweredCount(): number {
-    return this.unanswered.size;
-  }
-
   /** Monotonic time in milliseconds at which the caller disconnected; undefined while it is connected. */
   get disconnectedAtMs(): number | undefined {
     return this.disconnectedAt;
   }
 
-  /** Adds a received request. Returns a controller that is aborted when the caller disconnects. */
+  /**
+   * Adds a received request. Returns a controller that is aborted when the caller disconnects, and at once for a request
+   * behind an answer that closes the connection: its answer could not be sent.
+   */
   addRequest(): AbortController {
     const controller = new AbortController();
-    if (this.disconnectedAt === undefined) this.unanswered.add(controller);
-    else controller.abort();
+    if (this.disconnectedAt !== undefined || this.isClosing) {
+      controller.abort();
+      return controller;
+    }
+    this.unanswered.add(controller);
+    this.lastRequest = controller;
     return controller;
   }
 
+  /**
+   * Whether no request was received behind this one. The answers of later requests may be complete already and wait
+   * for the answer to this one; closing the connection after it would drop them.
+   */
+  isLastRequest(controller: AbortController): boolean {
+    return this.lastRequest === controller;
+  }
+
+  /** Records that the answer to the last request closes the connection. */
+  setClosing(): void {
+    this.isClosing = true;
+  }
+
   /** Marks a request as answered. */
   endRequest(controller: AbortController): void {
     if (this.unanswered.delete(controller)) this.answeredCount += 1;
--- a/test/platform/RawCaller.ts
+++ b/test/platform/RawCaller.ts
@@ -1,6 +1,9 @@
 import * as net from 'node:net';
 import * as sockets from '../../standins/proxy/resetSocket.js';
 
+/** How long the caller waits for an answer unless a test says otherwise. */
+const DEFAULT_REMAINING_MS = 3000;
+
 /** A caller that writes HTTP/1.1 directly to a socket, so that it can pipeline requests on one connection. */
 export class RawCaller {
   private readonly socket: net.Socket;
@@ -26,10 +29,23 @@
   }
 
   /** Sends one GET request for each request ID without waiting for answers. */
-  send(requestIds: readonly string[], path = '/look/x', key = 'k1'): void {
+  send(
+    requestIds: readonly string[],
+    path = '/look/x',
+    key = 'k1',
+    remainingMs = DEFAULT_REMAINING_MS,
+  ): void {
     this.socket.write(
       requestIds
-        .map(requestId => formatRequestHead('GET', requestId, path, key))
+        .map(requestId =>
+          formatRequestHead({
+            method: 'GET',
+            requestId,
+            path,
+            key,
+            remainingMs,
+          }),
+        )
         .join(''),
     );
   }
@@ -37,19 +53,20 @@
   /** Sends the head of a POST request that announces a body of `bodyBytes`, without the body. */
   sendHead(requestId: string, path: string, bodyBytes: number): void {
     this.socket.write(
-      formatRequestHead(
-        'POST',
+      formatRequestHead({
+        method: 'POST',
         requestId,
         path,
-        'k1',
-        `content-length: ${bodyBytes}`,
-      ),
+        key: 'k1',
+        remainingMs: DEFAULT_REMAINING_MS,
+        extraHeaders: [`content-length: ${bodyBytes}`],
+      }),
     );
   }
 
   /** Returns the HTTP statuses of the answers received so far. */
   getStatuses(): readonly number[] {
-    return [...this.received.matchAll(/^HTTP\/1\.1 (\d{3})/gm)].map(match =>
+    return [...this.received.matchAll(/HTTP\/1\.1 (\d{3}) /g)].map(match =>
       Number(match[1]),
     );
   }
@@ -65,19 +82,29 @@
   }
 }
 
-function formatRequestHead(
-  method: 'GET' | 'POST',
-  requestId: string,
-  path: string,
-  key: string,
-  ...extraHeaders: readonly string[]
-): string {
+interface RequestHead {
+  readonly method: 'GET' | 'POST';
+  readonly requestId: string;
+  readonly path: string;
+  readonly key: string;
+  readonly remainingMs: number;
+  readonly extraHeaders?: readonly string[];
+}
+
+function formatRequestHead({
+  method,
+  requestId,
+  path,
+  key,
+  remainingMs,
+  extraHeaders = [],
+}: RequestHead): string {
   return [
     `${method} ${path} HTTP/1.1`,
     'host: a.example',
     `x-request-id: ${requestId}`,
     `x-affinity-key: ${requestId}`,
-    'x-request-deadline: 3000',
+    `x-request-deadline: ${remainingMs}`,
     `authorization: Bearer ${key}`,
     ...extraHeaders,
     '\r\n',
