Bound the memory that unfinished answers of upstreams take together

Change: AnswerMemory holds 64 MiB of unfinished answers at most in a process and drops the largest beyond that; its connection is closed, other requests go on.

--- a/src/services/dispatch/UpstreamConnections.ts
+++ b/src/services/dispatch/UpstreamConnections.ts
@@ -3,6 +3,7 @@
 import type * as codecs from '../../codecs/entry/index.js';
 import type * as entry from '../../model/entry/index.js';
 import * as httpService from '../http/index.js';
+import * as memories from './AnswerMemory.js';
 
 /** Allows for two round trips between distant regions and a lost packet. */
 const CONNECT_TIMEOUT_MS = 700;
@@ -64,10 +65,20 @@
   private readonly origin: string;
   private readonly codec: codecs.WireCodec;
   private readonly pool: undici.Pool;
+  private readonly memory: memories.AnswerMemory;
   private readonly resetMonitor = new httpService.ResetMonitor();
 
-  /** @param address Where the upstream listens, as host:port. */
-  constructor(upstreamId: string, address: string, codec: codecs.WireCodec) {
+  /**
+   * @param address Where the upstream listens, as host:port.
+   * @param memory Bounds the answers that are being received, together with those of other upstreams.
+   */
+  constructor(
+    upstreamId: string,
+    address: string,
+    codec: codecs.WireCodec,
+    memory = new memories.AnswerMemory(),
+  ) {
+    this.memory = memory;
     this.upstreamId = upstreamId;
     this.codec = codec;
     this.origin = `http://${address}`;
@@ -95,6 +106,7 @@
         this.codec,
         outbound,
         this.resetMonitor,
+        this.memory,
         settle,
       );
       (client ?? this.pool).dispatch(
@@ -130,14 +142,18 @@
 }
 
 /** Sends one request on a connection and collects its answer. */
-class Exchange implements undici.Dispatcher.DispatchHandler {
+class Exchange
+  implements undici.Dispatcher.DispatchHandler, memories.BufferedAnswer
+{
   private readonly upstreamId: string;
   private readonly codec: codecs.WireCodec;
   private readonly outbound: OutboundRequest;
   private readonly resetMonitor: httpService.ResetMonitor;
+  private readonly memory: memories.AnswerMemory;
   private readonly settle: (result: SendResult) => void;
   private readonly timer: httpService.ReadTimer;
   private readonly chunks: Buffer[] = [];
+  private receivedBytes = 0;
   private readonly onAbandoned = () => this.abort({kind: 'abandoned'});
   private controller: undici.Dispatcher.DispatchController | undefined;
   private httpStatus = 0;
@@ -150,12 +166,14 @@
     codec: codecs.WireCodec,
     outbound: OutboundRequest,
     resetMonitor: httpService.ResetMonitor,
+    memory: memories.AnswerMemory,
     settle: (result: SendResult) => void,
   ) {
     this.upstreamId = upstreamId;
     this.codec = codec;
     this.outbound = outbound;
     this.resetMonitor = resetMonitor;
+    this.memory = memory;
     this.settle = settle;
     this.timer = new httpService.ReadTimer(outbound.remainingMs, () =>
       this.abort({kind: 'timedOut'}),
@@ -163,6 +181,14 @@
     outbound.abandoned.addEventListener('abort', this.onAbandoned);
   }
 
+  get bufferedBytes(): number {
+    return this.receivedBytes;
+  }
+
+  drop(): void {
+    this.abort({kind: 'broken', reason: 'answers take too much memory'});
+  }
+
   onRequestStart(controller: undici.Dispatcher.DispatchController): void {
     if (!this.outbound.isStillEligible()) this.finish({kind: 'withheld'});
     this.controller = controller;
@@ -195,7 +221,10 @@
     _controller: undici.Dispatcher.DispatchController,
     chunk: Buffer,
   ): void {
+    if (this.isSettled) return;
     this.chunks.push(chunk);
+    this.receivedBytes += chunk.length;
+    this.memory.add(this, chunk.length);
   }
 
   onResponseEnd(): void {
@@ -256,6 +285,8 @@
   private finish(result: SendResult): void {
     if (this.isSettled) return;
     this.isSettled = true;
+    this.memory.remove(this);
+    this.chunks.length = 0;
     this.timer.cancel();
     this.outbound.abandoned.removeEventListener('abort', this.onAbandoned);
     this.settle(result);
--- a/src/services/dispatch/UpstreamRegistry.ts
+++ b/src/services/dispatch/UpstreamRegistry.ts
@@ -1,6 +1,7 @@
 import type * as codecs from '../../codecs/entry/index.js';
 import * as decisions from '../../decisions/index.js';
 import type * as entry from '../../model/entry/index.js';
+import * as memories from './AnswerMemory.js';
 import * as formerHolds from './FormerHolds.js';
 import * as connections from './UpstreamConnections.js';
 import * as states from './UpstreamState.js';
@@ -42,6 +43,7 @@
     readonly decisions.RankableRegion[]
   >();
   private readonly shares = new Map<string, decisions.RegionShares>();
+  private readonly answerMemory = new memories.AnswerMemory();
   private readonly formerHolds = new formerHolds.FormerHolds();
   private evacuated: ReadonlySet<string> = new Set();
 
@@ -280,6 +282,7 @@
           record.upstreamId,
           address,
           this.codec,
+          this.answerMemory,
         ),
       });
       return {kind: 'added', record};
--- a/test/services/dispatch/UpstreamConnections.test.ts
+++ b/test/services/dispatch/UpstreamConnections.test.ts
@@ -2,6 +2,7 @@
 import * as timers from 'node:timers/promises';
 import * as earl from 'earl';
 import * as headers from '../../../platform/HeaderCodec.js';
+import * as memories from '../../../src/services/dispatch/AnswerMemory.js';
 import type * as entry from '../../../src/model/entry/index.js';
 import * as connections from '../../../src/services/dispatch/UpstreamConnections.js';
 import * as upstreams from '../../../standins/store/FakeUpstream.js';
@@ -11,6 +12,11 @@
 /** Limit of the bytes that a process reads of an endless answer: a fraction of the smallest VM's memory. */
 const MAX_READ_BYTES = 64 * 1024 * 1024;
 
+/** Upstreams that send without end at the same time, and what their answers may take of a VM with 350 MB. */
+const ENDLESS_UPSTREAM_COUNT = 50;
+const MAX_MEMORY_BYTES = 175_000_000;
+const MEMORY_SAMPLE_INTERVAL_MS = 5;
+
 const REQUEST: entry.EntryRequest = {
   requestId: 'q',
   method: 'GET',
@@ -128,6 +134,48 @@
       },
     );
 
+  void test.it(
+    'bounds the memory that many endless answers take together',
+    async () => {
+      const memory = new memories.AnswerMemory();
+      const started = await Promise.all(
+        Array.from({length: ENDLESS_UPSTREAM_COUNT + 1}, async (_, index) => {
+          const upstream = new upstreams.FakeUpstream('i-0');
+          if (index > 0) upstream.mode = 'endlessBody';
+          else upstream.serviceMs = 400;
+          const client = new connections.UpstreamConnections(
+            'i-0',
+            await upstream.open(),
+            new headers.HeaderCodec(),
+            memory,
+          );
+          return {upstream, client};
+        }),
+      );
+      const beforeBytes = process.memoryUsage().arrayBuffers;
+      let peakBytes = 0;
+      const sampler = setInterval(() => {
+        const {arrayBuffers} = process.memoryUsage();
+        peakBytes = Math.max(peakBytes, arrayBuffers - beforeBytes);
+      }, MEMORY_SAMPLE_INTERVAL_MS);
+      const results = await Promise.all(
+        started.map(({client}) => client.send(getOutboundRequest('q'))),
+      );
+      clearInterval(sampler);
+      earl
+        .expect(results.map(result => result.kind))
+        .toEqual([
+          'answered',
+          ...Array<'broken'>(ENDLESS_UPSTREAM_COUNT).fill('broken'),
+        ]);
+      earl.expect(peakBytes).toBeLessThan(MAX_MEMORY_BYTES);
+      for (const {upstream, client} of started) {
+        upstream.close();
+        await client.close();
+      }
+    },
+  );
+
   // Guards against treating a cut-off answer as complete.
   for (const mode of ['unframedReset', 'unframedResetAtOnce'] as const)
     void test.it(`treats a cut-off answer as broken with ${mode}`, async () => {
