End allowances of limits that a paused process would still use

Cause, found by reading after a report of other operators: the bucket of a VM that knows its peers' use refilled for as long as the process had been paused, and borrowed and lent requests stayed valid, though peers may have admitted them meanwhile.

Change: an allowance ends 2.5 s after its calculation; until the next update the VM admits and lends nothing of it.

--- a/src/services/shares/OrganisationShare.ts
+++ b/src/services/shares/OrganisationShare.ts
@@ -22,6 +22,12 @@
 /** The fraction of a window's requests that stays unused, as a margin for lost or late use reports in surges. */
 const MARGIN_FRACTION = 0.03;
 
+/**
+ * How long in milliseconds an allowance lasts after its calculation. The next update replaces it after a second; one
+ * that comes much later follows a pause of the process, in which peers may have admitted the requests.
+ */
+const ALLOWANCE_TERM_MS = 2500;
+
 /** The fraction of the burst that all VMs together may admit shortly after a start or without statuses of peers. */
 const UNINFORMED_BURST_FRACTION = 0.5;
 
@@ -52,7 +58,13 @@
   /** The VM doesn't know yet how many peers it has, and admits no requests. */
   | {readonly kind: 'starting'}
   /** The VM knows its peers' use, and admits its share of the requests that the window has left. */
-  | {readonly kind: 'informed'; readonly ratePerSecond: number}
+  | {
+      readonly kind: 'informed';
+      readonly ratePerSecond: number;
+
+      /** Monotonic time in milliseconds at which what the VM knows of its peers' use is too old to admit requests. */
+      readonly untilMs: number;
+    }
   /** The VM knows too little of its peers' use, and admits an equal share of the rate. */
   | {
       readonly kind: 'uninformed';
@@ -206,6 +218,7 @@
     this.admissionMode = {
       kind: 'informed',
       ratePerSecond: allowance.ownRatePerSecond,
+      untilMs: nowMs + ALLOWANCE_TERM_MS,
     };
     // The borrowers' uses may not include all requests lent since the last update, so these are subtracted.
     this.lentCount = Math.floor(
@@ -225,7 +238,7 @@
 
   /** Admits a request that `tryAdmit` has already counted if a borrowed one is left; returns whether it did. */
   tryAdmitBorrowed(nowMs: number): boolean {
-    if (this.borrowedCount < 1) return false;
+    if (this.borrowedCount < 1 || this.hasAllowanceExpired(nowMs)) return false;
     this.borrowedCount -= 1;
     this.admitted.add(nowMs);
     return true;
@@ -244,7 +257,8 @@
   }
 
   /** Lends up to `wantedCount` requests to a VM that has used up its share; returns how many. */
-  lend(wantedCount: number): number {
+  lend(wantedCount: number, nowMs: number): number {
+    if (this.hasAllowanceExpired(nowMs)) return 0;
     switch (this.admissionMode.kind) {
       case 'informed': {
         const count = Math.max(0, Math.min(wantedCount, this.lentCount));
@@ -299,7 +313,18 @@
     };
   }
 
+  private hasAllowanceExpired(nowMs: number): boolean {
+    switch (this.admissionMode.kind) {
+      case 'informed':
+        return nowMs >= this.admissionMode.untilMs;
+      case 'starting':
+      case 'uninformed':
+        return false;
+    }
+  }
+
   private tryTakeToken(nowMs: number): boolean {
+    if (this.hasAllowanceExpired(nowMs)) return false;
     switch (this.admissionMode.kind) {
       case 'starting':
         return false;
--- a/src/services/shares/SharesTask.ts
+++ b/src/services/shares/SharesTask.ts
@@ -232,7 +232,9 @@
   }
 
   private lend(organisationId: string, wantedCount: number): number {
-    return this.shares.get(organisationId)?.lend(wantedCount) ?? 0;
+    return (
+      this.shares.get(organisationId)?.lend(wantedCount, this.nowMs()) ?? 0
+    );
   }
 
   /** Borrows from the organisation's lender the requests that are expected soon, and at least `minCount`. */
--- a/test/services/shares/OrganisationShare.test.ts
+++ b/test/services/shares/OrganisationShare.test.ts
@@ -172,7 +172,7 @@
     if (vms[index].borrowCallCount >= SURGE_BORROW_CALL_COUNT)
       publishEarly(index, nowMs);
     if (!isLenderReachable) return false;
-    share.addBorrowed(vms[LENDER_INDEX].share.lend(share.wantedCount));
+    share.addBorrowed(vms[LENDER_INDEX].share.lend(share.wantedCount, nowMs));
     return share.tryAdmitBorrowed(nowMs);
   };
   const admittedAtMs: number[] = [];
