--- a/src/codecs/members/memberStatus.ts
+++ b/src/codecs/members/memberStatus.ts
@@ -169,7 +169,11 @@
 function decodeStart(
   params: zod.infer<typeof upstreamLeavingSchema>,
 ): entry.UpstreamStart {
-  const {host, port} = addresses.parseSocketAddress(params.a);
+  const {host, port} = addresses.parseSocketAddress(
+    params.a,
+    '',
+    'invalidPeerMessage',
+  );
   return {upstreamId: params.i, host, port, startedAtMs: params.b};
 }
 
--- a/test/platform/rows.test.ts
+++ b/test/platform/rows.test.ts
@@ -4,6 +4,7 @@
 import * as operatorRows from '../../platform/operatorRows.js';
 import * as upstreamRows from '../../platform/upstreamRows.js';
 import * as upstreamRowCaches from '../../platform/UpstreamRowCache.js';
+import * as kinds from '../support/errors/getErrorKind.js';
 
 const SEED = 20261204;
 const REGIONS = new Map([['amman-jabal', 'amman']]);
@@ -93,10 +94,12 @@
     ];
     for (const value of invalidValues)
       earl
-        .expect(() =>
-          upstreamRows.decodeUpstreamRow(getRow('i-1', value), REGIONS),
+        .expect(
+          kinds.getErrorKind(() =>
+            upstreamRows.decodeUpstreamRow(getRow('i-1', value), REGIONS),
+          ),
         )
-        .toThrow();
+        .toEqual('invalidRow');
   });
 
   void test.it('throws only a BramleyrunError for arbitrary bytes', () => {
--- a/test/platform/settings.test.ts
+++ b/test/platform/settings.test.ts
@@ -1,6 +1,7 @@
 import * as test from 'node:test';
 import * as earl from 'earl';
 import * as settings from '../../platform/settings.js';
+import * as kinds from '../support/errors/getErrorKind.js';
 
 const TEXT = `
 NodeName=front-1
@@ -48,5 +49,11 @@
     earl
       .expect(() => settings.parsePlatformSettings(TEXT, 'loud'))
       .toThrow(Error, '"loud"');
+    for (const parseInvalid of [
+      parse('8668', 'x'),
+      parse('Drain=2500ms', 'Drain=soon'),
+      parse('HeartbeatInterval=1200ms', 'HeartbeatInterval=often'),
+    ])
+      earl.expect(kinds.getErrorKind(parseInvalid)).toEqual('invalidSettings');
   });
 });
