--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -239,6 +239,7 @@
       machine.child.once('exit', (code, signal) => {
         this.record(`machine ${machine.index} ended: ${signal ?? code}`);
         machine.ends.push({atMs: performance.now(), code, signal});
+        machine.lastLog = machine.log;
         resolve();
         if (!this.isClosing)
           setTimeout(() => this.isClosing || this.start(machine), 500);
