--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -1,7 +1,7 @@
 /* global Buffer, performance */
 /** Two of four back ends now and then send a body without end, in chunks of one byte. */
-import {Client} from '../lib/Client.mjs';
-import * as fleets from '../lib/fleet.mjs';
+import {Client} from './Client.mjs';
+import * as fleets from './fleet.mjs';
 
 const CLIENT_COUNT = 32;
 
