Refuse uploads by their head, and bound what an upload in tiny pieces takes

Cause: `readBody` kept the object of each piece, as the answers did, and read the whole body before the head was looked at. What was over the limit was read on until its end or the deadline.

Change: route, key, stop and the announced length are decided before the body is read, at both front ends; `expect: 100-continue` is answered only when the body is wanted. After an answer to an unread body the connection is closed: the rest is taken away from the parser and discarded for at most a second, so that callers still read the answer. A refused request with a short body keeps its connection.

--- a/src/model/entry/EntryRequest.ts
+++ b/src/model/entry/EntryRequest.ts
@@ -1,5 +1,5 @@
-/** A caller's request, independent of the header names on the wire. */
-export interface EntryRequest {
+/** A caller's request before its body has been read, independent of the header names on the wire. */
+export interface EntryRequestHead {
   /** Identifies this attempt of the caller. */
   readonly requestId: string;
 
@@ -12,8 +12,6 @@
   /** The headers to forward, as alternating names and values; the API key is removed. */
   readonly headers: readonly string[];
 
-  readonly body: Uint8Array;
-
   /** The API key that the caller sent, or an empty string. */
   readonly key: string;
 
@@ -27,6 +25,11 @@
   readonly callerDeadlineMs: number;
 }
 
+/** A caller's whole request. */
+export interface EntryRequest extends EntryRequestHead {
+  readonly body: Uint8Array;
+}
+
 /** A complete HTTP response from an upstream. */
 export interface EntryAnswer {
   readonly httpStatus: number;
--- a/src/services/callers/CallersTask.ts
+++ b/src/services/callers/CallersTask.ts
@@ -19,6 +19,7 @@
 
 const HTTP_OK = 200;
 const HTTP_UNAVAILABLE = 503;
+const EMPTY_BODY = Buffer.alloc(0);
 
 /**
  * Time in milliseconds for which a stopping process still serves callers. It exceeds the lifetime of a steering answer,
@@ -42,6 +43,7 @@
     },
   );
   private readonly readBarrier = new httpService.ReadBarrier();
+  private readonly bodyMemory = new httpService.BodyMemory();
   private readonly keys = new Map<string, configurations.Key>();
   private configuration: configurations.Configuration =
     configurations.EMPTY_CONFIGURATION;
@@ -171,10 +173,12 @@
     response: http.ServerResponse,
   ): Promise<void> {
     try {
-      const body = await httpService.readBody(request);
+      const {bytes} = await httpService.readBody(request, response, {
+        maxBytes: httpService.MAX_BODY_BYTES,
+      });
       const {addresses} = codecs.parseJsonOrThrow(
         codecs.steeringBatchSchema,
-        body.toString('utf8'),
+        bytes.toString('utf8'),
         'invalidRequest',
       );
       const organisationId = this.getOrganisationId(request);
@@ -221,9 +225,12 @@
     const connection = this.callerConnections.get(incoming.socket);
     const abortController = connection.addRequest();
     try {
-      const request = await readRequest(incoming, requestId);
-      await this.readBarrier.wait();
-      const result = await this.runRequest(request, abortController.signal);
+      const result = await this.readAndRun(
+        incoming,
+        response,
+        requestId,
+        abortController.signal,
+      );
       await this.writeResult(response, incoming, requestId, result);
     } catch (thrown) {
       this.sendError(response, requestId, errors.toError(thrown));
@@ -232,15 +239,46 @@
     this.observe('request_ms', this.nowMs() - startedAtMs);
   }
 
+  /** Reads the body of a request, unless the head is enough to refuse it, and runs the request. */
+  private async readAndRun(
+    incoming: http.IncomingMessage,
+    response: http.ServerResponse,
+    requestId: string,
+    abandoned: AbortSignal,
+  ): Promise<flows.FlowResult> {
+    const head = getRequestHead(incoming, requestId);
+    const access = this.decideAccess(
+      codecs.decodeCallerRequest({...head, body: EMPTY_BODY}),
+    );
+    if (access.kind === 'refused') {
+      await Promise.race([
+        this.readBarrier.wait(),
+        httpService.discardBody(incoming),
+      ]);
+      return createRefusal(access);
+    }
+    const body = await httpService.readBody(incoming, response, {
+      maxBytes: httpService.MAX_BODY_BYTES,
+      memory: this.bodyMemory,
+    });
+    try {
+      await this.readBarrier.wait();
+      return await this.runRequest(
+        codecs.decodeCallerRequest({...head, body: body.bytes}),
+        abandoned,
+      );
+    } finally {
+      body.release();
+    }
+  }
+
   private async runRequest(
     request: requests.CallerRequest,
     abandoned: AbortSignal,
   ): Promise<flows.FlowResult> {
+    // The configuration may have changed while the body was read.
     const access = this.decideAccess(request);
-    if (access.kind === 'refused') {
-      const error = errors.createError(access.error, access.message);
-      return {kind: 'failed', error};
-    }
+    if (access.kind === 'refused') return createRefusal(access);
     if (this.requestFlow === undefined)
       throw new Error('the task has not started');
     const result = await this.requestFlow.run({request, access, abandoned});
@@ -322,18 +360,25 @@
   }
 }
 
-async function readRequest(
+function getRequestHead(
   incoming: http.IncomingMessage,
   requestId: string,
-): Promise<requests.CallerRequest> {
-  const body = await httpService.readBody(incoming);
-  return codecs.decodeCallerRequest({
+): Omit<codecs.HttpRequestParts, 'body'> {
+  return {
     requestId,
     method: incoming.method ?? 'GET',
     target: incoming.url ?? '/',
     rawHeaders: incoming.rawHeaders,
-    body,
-  });
+  };
+}
+
+function createRefusal(
+  access: Extract<decisions.AccessDecision, {kind: 'refused'}>,
+): flows.FlowResult {
+  return {
+    kind: 'failed',
+    error: errors.createError(access.error, access.message),
+  };
 }
 
 function getClientAddress(request: http.IncomingMessage): string {
--- a/src/services/callers/writeAnswer.ts
+++ b/src/services/callers/writeAnswer.ts
@@ -5,6 +5,7 @@
 import * as errors from '../../model/errors/index.js';
 import type * as operations from '../../model/operations/index.js';
 import type * as requests from '../../model/requests/index.js';
+import * as httpService from '../http/index.js';
 
 /** Upstream headers that are not forwarded: hop-by-hop headers, and the request id, which is set separately. */
 const EXCLUDED_HEADERS: ReadonlySet<string> = new Set([
@@ -74,7 +75,8 @@
 }
 
 /**
- * Sends an error response. When the response headers were already sent, closes the connection instead.
+ * Sends an error response. When the response headers were already sent, closes the connection instead; closes it, too,
+ * after the response to a request whose body has not been read to its end.
  * @param nowMs The wall-clock time in milliseconds.
  */
 export function writeError(
@@ -88,10 +90,14 @@
     return;
   }
   const encoded = codecs.encodeError(error, nowMs);
+  const body = Buffer.from(encoded.body);
+  const hasUnreadBody = !response.req.complete;
   response.writeHead(encoded.httpStatus, {
     ...encoded.headers,
     [codecs.REQUEST_ID_HEADER]: requestId,
-    [CONTENT_LENGTH_HEADER]: String(Buffer.byteLength(encoded.body)),
+    [CONTENT_LENGTH_HEADER]: String(body.length),
+    ...(hasUnreadBody ? {connection: 'close'} : {}),
   });
-  response.end(encoded.body);
+  if (hasUnreadBody) httpService.endBeforeBody(response, body);
+  else response.end(body);
 }
--- a/src/services/entry/CallerExchange.ts
+++ b/src/services/entry/CallerExchange.ts
@@ -1,6 +1,6 @@
 import type * as http from 'node:http';
 import type * as entry from '../../model/entry/index.js';
-import type * as httpService from '../http/index.js';
+import * as httpService from '../http/index.js';
 
 /** One caller's request together with the HTTP response that answers it. */
 export class CallerExchange {
@@ -37,6 +37,7 @@
    * Writes an answer with its length.
    *
    * @param shouldClose Whether to close the connection after the answer, unless requests were received behind this one.
+   *     The connection is always closed after an answer to a request whose body has not been read to its end.
    */
   send(
     httpStatus: number,
@@ -48,7 +49,6 @@
     const {isLastRequest} = this;
     if (!this.endRequest()) return;
     const answerHeaders = [...headers, 'content-length', String(body.length)];
-    // The unread rest of a request body would be parsed as the next request.
     const hasUnreadBody = !response.req.complete;
     if ((shouldClose && isLastRequest) || hasUnreadBody) {
       this.connection.setClosing();
@@ -57,7 +57,8 @@
       response.removeHeader('connection');
     }
     response.writeHead(httpStatus, answerHeaders);
-    response.end(body);
+    if (hasUnreadBody) httpService.endBeforeBody(response, body);
+    else response.end(body);
   }
 
   /** Writes an answer without a length: closing the connection marks its end. */
--- a/src/services/entry/EntryFlow.ts
+++ b/src/services/entry/EntryFlow.ts
@@ -113,7 +113,7 @@
 
 /** Gets the monotonic time in milliseconds by which a request must have a final answer. */
 export function getDeadlineMs(
-  request: entry.EntryRequest,
+  request: entry.EntryRequestHead,
   route: entry.EntryRoute,
 ): number {
   return Math.min(
--- a/src/services/entry/EntryTask.ts
+++ b/src/services/entry/EntryTask.ts
@@ -29,6 +29,11 @@
 /** Event loop and accept delays from this length on are logged, because they use up callers' time limits. */
 const MIN_LOGGED_DELAY_MS = 100;
 
+/** What the head of a request decides: its route and organisation, or that it is refused. */
+type HeadDecision =
+  | Extract<decisions.EntryDecision, {kind: 'granted'}>
+  | Extract<flows.EntryResult, {kind: 'failed'}>;
+
 /** Options of the entry service. */
 export interface EntryOptions {
   readonly address: entry.SocketAddress;
@@ -56,6 +61,7 @@
     },
   );
   private readonly readBarrier = new httpService.ReadBarrier();
+  private readonly bodyMemory = new httpService.BodyMemory();
   private loopDelayMonitor: delays.LoopDelayMonitor | undefined;
   private entryIndex: decisions.EntryIndex | undefined;
   private configuration: entry.EntryConfiguration | undefined;
@@ -224,7 +230,6 @@
     incoming: http.IncomingMessage,
     response: http.ServerResponse,
   ): Promise<void> {
-    const readAtMs = this.nowMs();
     const arrivedAtMs = Math.min(
       this.getEarliestArrivalMs(),
       this.acceptQueueMonitor.getConnectionArrivalMs(incoming.socket) ??
@@ -233,66 +238,86 @@
     const connection = this.connections.get(incoming.socket);
     const exchange = new exchanges.CallerExchange(connection, response);
     const envelope = this.options.codec.decodeRequest(incoming.rawHeaders);
-    const callerDeadlineMs =
-      arrivedAtMs + (envelope.remainingMs ?? DEFAULT_CALLER_TIMEOUT_MS);
+    const head: entry.EntryRequestHead = {
+      requestId: envelope.requestId,
+      method: incoming.method ?? 'GET',
+      host: incoming.headers.host ?? '',
+      target: incoming.url ?? '/',
+      headers: envelope.headers,
+      key: envelope.key,
+      objectKey: envelope.objectKey,
+      arrivedAtMs,
+      callerDeadlineMs:
+        arrivedAtMs + (envelope.remainingMs ?? DEFAULT_CALLER_TIMEOUT_MS),
+    };
     try {
-      const body = await this.readBody(incoming, arrivedAtMs, callerDeadlineMs);
-      const bodyMs = this.nowMs() - readAtMs;
-      await this.readBarrier.wait();
-      // The time that the caller took to send the body is no sign of load on this VM.
-      this.shedder.recordRequestAge(arrivedAtMs + bodyMs);
-      const request: entry.EntryRequest = {
-        requestId: envelope.requestId,
-        method: incoming.method ?? 'GET',
-        host: incoming.headers.host ?? '',
-        target: incoming.url ?? '/',
-        headers: envelope.headers,
-        body,
-        key: envelope.key,
-        objectKey: envelope.objectKey,
-        arrivedAtMs,
-        callerDeadlineMs,
-      };
-      this.writeResult(
-        exchange,
-        request,
-        await this.runRequest(request, exchange.abandoned),
-      );
+      const result = await this.readAndRun(incoming, response, head, exchange);
+      this.writeResult(exchange, head, result);
     } catch (thrown) {
       const error = errors.toError(thrown);
-      this.writeFailure(exchange, envelope.requestId, {
+      this.writeFailure(exchange, head.requestId, {
         kind: 'failed',
         error: error.kind,
         message: error.message,
-        retryAtMs: undefined,
+        retryAtMs:
+          error.kind === 'overloaded' ? this.shedder.getRetryAtMs() : undefined,
       });
     }
     this.observe('request_ms', this.nowMs() - arrivedAtMs);
-    this.recordUndelivered(exchange, envelope.requestId);
+    this.recordUndelivered(exchange, head.requestId);
   }
 
-  /** Reads a request's body, for at most the time that its route and its caller allow. */
+  /** Reads the body of a request, unless the head is enough to refuse it, and runs the request. */
+  private async readAndRun(
+    incoming: http.IncomingMessage,
+    response: http.ServerResponse,
+    head: entry.EntryRequestHead,
+    {abandoned}: exchanges.CallerExchange,
+  ): Promise<flows.EntryResult> {
+    const decision = this.decide(head);
+    if (decision.kind === 'failed') {
+      await Promise.race([
+        this.waitForReading(head.arrivedAtMs),
+        httpService.discardBody(incoming),
+      ]);
+      return decision;
+    }
+    const startedAtMs = this.nowMs();
+    const deadlineMs = flows.getDeadlineMs(head, decision.route);
+    const body = httpService.hasBody(incoming)
+      ? await this.readBody(incoming, response, deadlineMs)
+      : httpService.EMPTY_REQUEST_BODY;
+    try {
+      // The time that the caller took to send the body is no sign of load on this VM.
+      const bodyMs = this.nowMs() - startedAtMs;
+      await this.waitForReading(head.arrivedAtMs + bodyMs);
+      return await this.runRequest({...head, body: body.bytes}, abandoned);
+    } finally {
+      body.release();
+    }
+  }
+
+  /** Waits until a disconnect of the caller would be known, and records the age of a request that has been read. */
+  private async waitForReading(arrivedAtMs: number): Promise<void> {
+    await this.readBarrier.wait();
+    this.shedder.recordRequestAge(arrivedAtMs);
+  }
+
+  /** Reads a request's body until the monotonic time `deadlineMs`. */
   private async readBody(
     incoming: http.IncomingMessage,
-    arrivedAtMs: number,
-    callerDeadlineMs: number,
-  ): Promise<Uint8Array> {
-    if (!httpService.hasBody(incoming)) return EMPTY_BODY;
-    const route = this.entryIndex?.routes.findByTarget(
-      incoming.headers.host ?? '',
-      incoming.url ?? '/',
-    );
-    const deadlineMs =
-      route === undefined
-        ? callerDeadlineMs
-        : Math.min(callerDeadlineMs, arrivedAtMs + route.timeLimitMs);
+    response: http.ServerResponse,
+    deadlineMs: number,
+  ): Promise<httpService.RequestBody> {
     const timeout = new httpService.ReadTimeout(deadlineMs - this.nowMs());
     try {
-      return await httpService.readBody(
-        incoming,
-        this.configuration?.callerLimits.maxBodyBytes,
-        timeout.signal,
-      );
+      return await httpService.readBody(incoming, response, {
+        maxBytes:
+          this.configuration?.callerLimits.maxBodyBytes ??
+          httpService.MAX_BODY_BYTES,
+        memory: this.bodyMemory,
+        expirySignal: timeout.signal,
+      });
     } finally {
       timeout.cancel();
     }
@@ -313,22 +338,16 @@
     });
   }
 
-  private async runRequest(
-    request: entry.EntryRequest,
-    abandoned: AbortSignal,
-  ): Promise<flows.EntryResult> {
-    if (this.entryIndex === undefined || this.flow === undefined)
+  /** Decides by its head whether a request is admitted now. */
+  private decide(head: entry.EntryRequestHead): HeadDecision {
+    if (this.entryIndex === undefined)
       return {
         kind: 'failed',
         error: 'notFresh',
         message: 'no configuration is known yet',
         retryAtMs: this.nowMs() + UNREADY_RETRY_DELAY_MS,
       };
-    const decision = decisions.decideEntry(
-      this.entryIndex,
-      request,
-      this.nowMs(),
-    );
+    const decision = decisions.decideEntry(this.entryIndex, head, this.nowMs());
     if (decision.kind === 'refused')
       return {
         kind: 'failed',
@@ -336,9 +355,8 @@
         message: decision.message,
         retryAtMs: this.nowMs() + UNREADY_RETRY_DELAY_MS,
       };
-    const {route, organisation} = decision;
-    const {execution} = route;
-    const deadlineMs = flows.getDeadlineMs(request, route);
+    const {execution} = decision.route;
+    const deadlineMs = flows.getDeadlineMs(head, decision.route);
     const isAdmitted = decisions.isAdmittedWhileStopping(
       this.lifecycle,
       {execution, deadlineMs},
@@ -352,12 +370,24 @@
         // Other VMs serve already now.
         retryAtMs: this.nowMs(),
       };
+    return decision;
+  }
+
+  private async runRequest(
+    request: entry.EntryRequest,
+    abandoned: AbortSignal,
+  ): Promise<flows.EntryResult> {
+    if (this.flow === undefined) throw new Error('the task has not started');
+    // The configuration may have changed, or a stop may have begun, while the body was read.
+    const decision = this.decide(request);
+    if (decision.kind === 'failed') return decision;
+    const {route, organisation} = decision;
     return await this.flow.run({request, route, organisation, abandoned});
   }
 
   private writeResult(
     exchange: exchanges.CallerExchange,
-    request: entry.EntryRequest,
+    request: entry.EntryRequestHead,
     result: flows.EntryResult,
   ): void {
     switch (result.kind) {
--- a/src/services/http/HttpListener.ts
+++ b/src/services/http/HttpListener.ts
@@ -1,6 +1,7 @@
 import * as http from 'node:http';
 import * as net from 'node:net';
 import type * as settings from '../../codecs/settings/index.js';
+import * as rest from './endBeforeBody.js';
 
 /** How long an idle connection is kept open unless the caller limits set another time. */
 const DEFAULT_IDLE_TIMEOUT_MS = 30_000;
@@ -20,10 +21,18 @@
   /** @param handler Answers each request. */
   constructor(address: settings.ListenAddress, handler: http.RequestListener) {
     this.address = address;
-    this.server = http.createServer((request, response) => {
+    const handleRequest: http.RequestListener = (request, response) => {
       if (this.isClosing) response.setHeader('connection', 'close');
+      // Nobody needs the rest of a body after the answer, and parsing it would take processor time from others.
+      response.once('finish', () => {
+        if (!request.complete)
+          rest.discardRest(request, () => request.socket.destroy());
+      });
       handler(request, response);
-    });
+    };
+    this.server = http.createServer(handleRequest);
+    // Leaves it to the handler to ask for a body, which it need not do for a request that it refuses.
+    this.server.on('checkContinue', handleRequest);
     this.server.keepAliveTimeout = DEFAULT_IDLE_TIMEOUT_MS;
   }
 
--- a/src/services/http/index.ts
+++ b/src/services/http/index.ts
@@ -1,6 +1,7 @@
 export * from './AcceptQueueMonitor.js';
 export * from './BodyBuffer.js';
 export * from './BodyMemory.js';
+export * from './BodyReader.js';
 export * from './CallerConnection.js';
 export * from './CallerConnections.js';
 export * from './HttpListener.js';
@@ -9,6 +10,7 @@
 export * from './ReadTimeout.js';
 export * from './ReadTimer.js';
 export * from './ResetMonitor.js';
+export * from './endBeforeBody.js';
 export * from './limitAnswerBytes.js';
 export * from './PieceCounter.js';
 export * from './readBody.js';
--- a/test/platform/RawCaller.ts
+++ b/test/platform/RawCaller.ts
@@ -1,9 +1,12 @@
 import * as net from 'node:net';
 import * as sockets from '../../standins/proxy/resetSocket.js';
+import * as streams from '../../standins/store/writeUntilClosed.js';
 
 /** How long the caller waits for an answer unless a test says otherwise. */
 const DEFAULT_REMAINING_MS = 3000;
 
+const SMALL_CHUNKS = Buffer.from('1\r\nz\r\n'.repeat(10_000));
+
 /** A caller that writes HTTP/1.1 directly to a socket, so that it can pipeline requests on one connection. */
 export class RawCaller {
   private readonly socket: net.Socket;
@@ -64,6 +67,41 @@
     );
   }
 
+  /** Sends the head of a POST request with the given headers, together with what is given of its body. */
+  sendHeadWith(
+    requestId: string,
+    path: string,
+    key: string,
+    extraHeaders: readonly string[],
+    body = '',
+  ): void {
+    const head = formatRequestHead({
+      method: 'POST',
+      requestId,
+      path,
+      key,
+      remainingMs: DEFAULT_REMAINING_MS,
+      extraHeaders,
+    });
+    this.socket.write(head + body);
+  }
+
+  /** Sends a POST request with a body in chunks of one byte until the connection closes. */
+  sendSmallChunks(requestId: string, path: string, key: string): void {
+    this.sendHeadWith(requestId, path, key, ['transfer-encoding: chunked']);
+    streams.writeUntilClosed(this.socket, SMALL_CHUNKS, () => {});
+  }
+
+  /** Sends bytes as they are. */
+  write(bytes: string): void {
+    this.socket.write(bytes);
+  }
+
+  /** Whether the connection has been closed. */
+  get isClosed(): boolean {
+    return this.socket.closed;
+  }
+
   /** Returns the HTTP statuses of the answers received so far. */
   getStatuses(): readonly number[] {
     return [...this.received.matchAll(/HTTP\/1\.1 (\d{3}) /g)].map(match =>
--- a/test/platform/smallChunks.test.ts
+++ b/test/platform/smallChunks.test.ts
@@ -112,4 +112,25 @@
         });
       },
     );
+
+  for (const key of ['k1', 'unknown'])
+    void test.it(
+      `serves others during uploads without end, with the key ${key}`,
+      async () => {
+        await expectOthersServed(async fleet => {
+          const uploads = await Promise.all(
+            Array.from({length: ENDLESS_BODY_COUNT}, async (_, index) => {
+              const caller = await fleet.connect(0);
+              caller.sendSmallChunks(`u${index}`, '/book/x', key);
+              return caller;
+            }),
+          );
+          await fleet.waitFor(() => uploads.every(caller => caller.isClosed));
+          for (const caller of uploads)
+            earl
+              .expect(caller.getStatuses())
+              .toEqual([key === 'k1' ? 400 : 401]);
+        });
+      },
+    );
 });
