--- a/src/services/operators/OperatorsTask.ts
+++ b/src/services/operators/OperatorsTask.ts
@@ -104,9 +104,10 @@
       return {error: 'unauthenticated'};
     }
     const {operatorId} = operator;
-    return await this.rpcServer.receiveJSON(await event.req.text(), {
-      operatorId,
-    });
+    return await http.answerRpcRequest(
+      event,
+      async body => await this.rpcServer.receiveJSON(body, {operatorId}),
+    );
   }
 
   private async runMethod(
--- a/src/services/peers/PeersTask.ts
+++ b/src/services/peers/PeersTask.ts
@@ -65,7 +65,10 @@
       event.res.status = HTTP_UNAUTHORIZED;
       return '';
     }
-    return await this.rpcServer?.receive(await event.req.text());
+    return await http.answerRpcRequest(
+      event,
+      async body => await this.rpcServer?.receive(body),
+    );
   }
 
   private async call(
@@ -99,7 +102,10 @@
         body: rpc.encodePeerRequest(message.request, id),
         signal: timeout.signal,
       });
-      const text = await response.body.text();
+      const text = await http.readAnswerText(
+        response.body,
+        http.MAX_INTERNAL_BODY_BYTES,
+      );
       if (response.statusCode !== HTTP_OK) return {kind: 'failed'};
       return rpc.decodePeerResponse(text, id);
     } catch (thrown) {
@@ -116,7 +122,10 @@
     const pool = new undici.Pool(`http://${peersAddress}`, {
       connections: MAX_CONNECTIONS,
       maxResponseSize: http.MAX_INTERNAL_BODY_BYTES,
-      connect: {timeout: CONNECT_TIMEOUT_MS},
+      connect: http.limitAnswerBytes(
+        undici.buildConnector({timeout: CONNECT_TIMEOUT_MS}),
+        http.MAX_INTERNAL_BODY_BYTES,
+      ),
       localAddress: this.localAddress,
     });
     this.pools.set(peersAddress, pool);
--- a/src/services/platform/adapters/HttpPlatform.ts
+++ b/src/services/platform/adapters/HttpPlatform.ts
@@ -34,7 +34,10 @@
     this.pool = new undici.Pool(url, {
       connections: MAX_CONNECTIONS,
       maxResponseSize: http.MAX_INTERNAL_BODY_BYTES,
-      connect: {timeout: ANSWER_TIMEOUT_MS},
+      connect: http.limitAnswerBytes(
+        undici.buildConnector({timeout: ANSWER_TIMEOUT_MS}),
+        http.MAX_INTERNAL_BODY_BYTES,
+      ),
     });
   }
 
@@ -114,7 +117,10 @@
         body: body === undefined ? null : JSON.stringify(body),
         signal: timeout.signal,
       });
-      const text = await response.body.text();
+      const text = await http.readAnswerText(
+        response.body,
+        http.MAX_INTERNAL_BODY_BYTES,
+      );
       return {kind: 'answer', httpStatus: response.statusCode, text};
     } catch (thrown) {
       return {kind: http.isNotSent(thrown) ? 'notSent' : 'noAnswer'};
--- a/test/services/peers/PeersTask.test.ts
+++ b/test/services/peers/PeersTask.test.ts
@@ -1,8 +1,10 @@
+import * as net from 'node:net';
 import * as test from 'node:test';
 import * as earl from 'earl';
 import * as kernel from '../../../src/kernel/index.js';
 import type * as peers from '../../../src/model/peers/index.js';
 import * as services from '../../../src/services/index.js';
+import * as streams from '../../../standins/store/writeUntilClosed.js';
 import * as stubs from '../../support/services/StubTask.js';
 
 const SECRET = 'secret';
@@ -26,14 +28,18 @@
   return daemon;
 }
 
+async function getPeersAddress(daemon: kernel.Kernel): Promise<string> {
+  return await daemon
+    .getOrThrow(services.PEERS)
+    .ask<string>(reply => ({kind: 'getAddress', reply}));
+}
+
 async function call(
   from: kernel.Kernel,
   to: kernel.Kernel,
   request: peers.PeerRequest,
 ): Promise<services.CallResult> {
-  const peersAddress = await to
-    .getOrThrow(services.PEERS)
-    .ask<string>(reply => ({kind: 'getAddress', reply}));
+  const peersAddress = await getPeersAddress(to);
   return await from
     .getOrThrow(services.PEERS)
     .ask<services.CallResult>(reply => ({
@@ -45,6 +51,26 @@
     }));
 }
 
+/** Sends a body without end in chunks of one byte; returns the status line of the answer once the connection closes. */
+async function sendSmallChunks(
+  peersAddress: string,
+  secret: string,
+): Promise<string> {
+  const [host, port] = peersAddress.split(':');
+  const socket = net.connect(Number(port), host);
+  let received = '';
+  socket.on('data', chunk => {
+    received += chunk.toString('latin1');
+  });
+  socket.on('error', () => {});
+  socket.write(
+    `POST /rpc HTTP/1.1\r\nhost: a\r\nauthorization: Bearer ${secret}\r\ntransfer-encoding: chunked\r\n\r\n`,
+  );
+  streams.writeUntilClosed(socket, '1\r\n \r\n'.repeat(10_000), () => {});
+  await new Promise(resolve => socket.once('close', resolve));
+  return received.split('\r\n')[0].trim();
+}
+
 void test.describe('PeersTask', {timeout: 60_000}, () => {
   void test.it('lends requests to another daemon', async () => {
     const daemons = [await startDaemon(), await startDaemon()];
@@ -63,4 +89,21 @@
       await Promise.all(daemons.map(daemon => daemon.stop()));
     }
   });
+
+  // Guards against a request of a peer that takes the memory or the processor time of a VM.
+  for (const [secret, expected] of [
+    [SECRET, 'HTTP/1.1 400'],
+    ['unknown', 'HTTP/1.1 401'],
+  ])
+    void test.it(`ends a request without end: ${expected}`, async () => {
+      const daemon = await startDaemon();
+      try {
+        const peersAddress = await getPeersAddress(daemon);
+        earl
+          .expect(await sendSmallChunks(peersAddress, secret))
+          .toEqual(expected);
+      } finally {
+        await daemon.stop();
+      }
+    });
 });
