Keep the connection after a refusal whose body is announced to be short

A refusal by the head closed the connection whenever the body had not all arrived, which costs a caller that sends head and body in two packets a new connection. Node.js reads the rest of a body after an early answer; a rest of at most 64 KiB is left to it. After a body that timed out the connection is closed as before.

refusedBodies.test.ts 'keeps its connection if its body is short' sends the body after the answer: 401, 200, 401, 200.

--- a/src/services/callers/writeAnswer.ts
+++ b/src/services/callers/writeAnswer.ts
@@ -76,7 +76,7 @@
 
 /**
  * Sends an error response. When the response headers were already sent, closes the connection instead; closes it, too,
- * after the response to a request whose body has not been read to its end.
+ * after the response to a request whose body may have a long rest.
  * @param nowMs The wall-clock time in milliseconds.
  */
 export function writeError(
@@ -91,13 +91,13 @@
   }
   const encoded = codecs.encodeError(error, nowMs);
   const body = Buffer.from(encoded.body);
-  const hasUnreadBody = !response.req.complete;
+  const hasLongRest = httpService.hasLongRest(response.req);
   response.writeHead(encoded.httpStatus, {
     ...encoded.headers,
     [codecs.REQUEST_ID_HEADER]: requestId,
     [CONTENT_LENGTH_HEADER]: String(body.length),
-    ...(hasUnreadBody ? {connection: 'close'} : {}),
+    ...(hasLongRest ? {connection: 'close'} : {}),
   });
-  if (hasUnreadBody) httpService.endBeforeBody(response, body);
+  if (hasLongRest) httpService.endBeforeBody(response, body);
   else response.end(body);
 }
--- a/src/services/entry/CallerExchange.ts
+++ b/src/services/entry/CallerExchange.ts
@@ -37,7 +37,7 @@
    * Writes an answer with its length.
    *
    * @param shouldClose Whether to close the connection after the answer, unless requests were received behind this one.
-   *     The connection is always closed after an answer to a request whose body has not been read to its end.
+   *     The connection is always closed after an answer to a request whose body may have a long rest.
    */
   send(
     httpStatus: number,
@@ -49,15 +49,15 @@
     const {isLastRequest} = this;
     if (!this.endRequest()) return;
     const answerHeaders = [...headers, 'content-length', String(body.length)];
-    const hasUnreadBody = !response.req.complete;
-    if ((shouldClose && isLastRequest) || hasUnreadBody) {
+    const hasLongRest = httpService.hasLongRest(response.req);
+    if ((shouldClose && isLastRequest) || hasLongRest) {
       this.connection.setClosing();
       answerHeaders.push('connection', 'close');
     } else {
       response.removeHeader('connection');
     }
     response.writeHead(httpStatus, answerHeaders);
-    if (hasUnreadBody) httpService.endBeforeBody(response, body);
+    if (hasLongRest) httpService.endBeforeBody(response, body);
     else response.end(body);
   }
 
--- a/src/services/entry/EntryTask.ts
+++ b/src/services/entry/EntryTask.ts
@@ -466,7 +466,9 @@
       isNotRun && waitMs !== undefined
         ? ['retry-after', (waitMs / 1000).toFixed(3)]
         : [];
-    exchange.send(httpStatus, headers, EMPTY_BODY, this.isLeaving);
+    // After a timeout, the rest of the body may never come.
+    const shouldClose = this.isLeaving || error === 'requestTimedOut';
+    exchange.send(httpStatus, headers, EMPTY_BODY, shouldClose);
   }
 
   private waitUntil(atMs: number): Promise<void> {
--- a/src/services/http/HttpListener.ts
+++ b/src/services/http/HttpListener.ts
@@ -25,7 +25,7 @@
       if (this.isClosing) response.setHeader('connection', 'close');
       // Nobody needs the rest of a body after the answer, and parsing it would take processor time from others.
       response.once('finish', () => {
-        if (!request.complete)
+        if (rest.hasLongRest(request))
           rest.discardRest(request, () => request.socket.destroy());
       });
       handler(request, response);
--- a/src/services/http/endBeforeBody.ts
+++ b/src/services/http/endBeforeBody.ts
@@ -4,6 +4,9 @@
 const DISCARD_MS = 1000;
 const MAX_DISCARDED_BYTES = 4 * 1_048_576;
 
+/** The rest of a body that is announced to be no longer than this is read to its end. */
+const MAX_SHORT_BODY_BYTES = 65_536;
+
 /** A body in more pieces is not waited for. */
 const MAX_DISCARDED_PIECES = 64;
 
@@ -21,8 +24,14 @@
   });
 }
 
+/** Whether the connection must be closed after the answer to a request, since the rest of its body may be long. */
+export function hasLongRest(request: http.IncomingMessage): boolean {
+  const announcedBytes = Number(request.headers['content-length']);
+  return !request.complete && !(announcedBytes <= MAX_SHORT_BODY_BYTES);
+}
+
 /**
- * Sends the body of an answer to a request whose own body has not been read to its end, and closes the connection.
+ * Sends the body of an answer to a request whose own body may have a long rest, and closes the connection.
  *
  * @param response The answer, with its head written, which states the length of `body` and closes the connection.
  */
--- a/test/platform/refusedBodies.test.ts
+++ b/test/platform/refusedBodies.test.ts
@@ -77,7 +77,14 @@
         );
         await fleet.waitFor(() => caller.getStatuses().length > answerCount);
       }
-      earl.expect(caller.getStatuses()).toEqual([401, 200]);
+      caller.sendHeadWith('r3', '/book/x', 'unknown', [
+        `content-length: ${BODY.length}`,
+      ]);
+      await fleet.waitFor(() => caller.getStatuses().length === 3);
+      caller.write(BODY);
+      caller.send(['r4'], '/book/x');
+      await fleet.waitFor(() => caller.getStatuses().length === 4);
+      earl.expect(caller.getStatuses()).toEqual([401, 200, 401, 200]);
       earl.expect(caller.isClosed).toEqual(false);
       caller.close();
     });
