Bound the excess pieces of all bodies together

All answers are read in the same turns of the event loop, each up to its own limit of 32,768 pieces, so that the time grows with their number.

Change: pieces beyond what a body's size explains count against a limit of all bodies that are being received in one direction, like their bytes; the body with the most is dropped.

--- a/src/decisions/bodies/index.ts
+++ b/src/decisions/bodies/index.ts
@@ -1,1 +1,1 @@
-export * from './isFragmented.js';
+export * from './getExcessPieceCount.js';
--- a/src/services/callers/CallersTask.ts
+++ b/src/services/callers/CallersTask.ts
@@ -43,7 +43,7 @@
     },
   );
   private readonly readBarrier = new httpService.ReadBarrier();
-  private readonly bodyMemory = new httpService.BodyMemory();
+  private readonly bodyMemory = new httpService.BodyMemory('request');
   private readonly keys = new Map<string, configurations.Key>();
   private configuration: configurations.Configuration =
     configurations.EMPTY_CONFIGURATION;
@@ -173,9 +173,11 @@
     response: http.ServerResponse,
   ): Promise<void> {
     try {
-      const {bytes} = await httpService.readBody(request, response, {
+      const {bytes, release} = await httpService.readBody(request, response, {
         maxBytes: httpService.MAX_BODY_BYTES,
+        memory: this.bodyMemory,
       });
+      release();
       const {addresses} = codecs.parseJsonOrThrow(
         codecs.steeringBatchSchema,
         bytes.toString('utf8'),
--- a/src/services/dispatch/UpstreamConnections.ts
+++ b/src/services/dispatch/UpstreamConnections.ts
@@ -75,7 +75,7 @@
     upstreamId: string,
     address: string,
     codec: codecs.WireCodec,
-    memory = new httpService.BodyMemory(),
+    memory = new httpService.BodyMemory('answer'),
   ) {
     this.memory = memory;
     this.upstreamId = upstreamId;
@@ -192,8 +192,12 @@
     return this.body.heldBytes;
   }
 
-  drop(): void {
-    this.abort({kind: 'broken', reason: 'answers take too much memory'});
+  get excessPieceCount(): number {
+    return this.body.excessPieceCount;
+  }
+
+  drop(reason: httpService.DropReason): void {
+    this.abort({kind: 'broken', reason: getDropText(reason)});
   }
 
   onRequestStart(controller: undici.Dispatcher.DispatchController): void {
@@ -234,11 +238,8 @@
     chunk: Buffer,
   ): void {
     if (this.isSettled) return;
-    const heldBefore = this.body.heldBytes;
     this.body.add(chunk);
-    if (this.body.isFragmented)
-      this.abort({kind: 'broken', reason: 'too many small pieces'});
-    else if (this.body.heldBytes !== heldBefore) this.memory.update(this);
+    this.memory.update(this);
   }
 
   onResponseEnd(): void {
@@ -304,6 +305,15 @@
   }
 }
 
+function getDropText(reason: httpService.DropReason): string {
+  switch (reason) {
+    case 'memory':
+      return 'answers take too much memory';
+    case 'fragmented':
+      return 'answers come in too many small pieces';
+  }
+}
+
 /**
  * Whether an answer belongs to a request. Only an answer to an executed request may leave out the request identifier:
  * after any other answer the request is retried.
--- a/src/services/dispatch/UpstreamRegistry.ts
+++ b/src/services/dispatch/UpstreamRegistry.ts
@@ -43,7 +43,7 @@
     readonly decisions.RankableRegion[]
   >();
   private readonly shares = new Map<string, decisions.RegionShares>();
-  private readonly answerMemory = new httpService.BodyMemory();
+  private readonly answerMemory = new httpService.BodyMemory('answer');
   private readonly formerHolds = new formerHolds.FormerHolds();
   private evacuated: ReadonlySet<string> = new Set();
 
--- a/src/services/entry/EntryTask.ts
+++ b/src/services/entry/EntryTask.ts
@@ -61,7 +61,7 @@
     },
   );
   private readonly readBarrier = new httpService.ReadBarrier();
-  private readonly bodyMemory = new httpService.BodyMemory();
+  private readonly bodyMemory = new httpService.BodyMemory('request');
   private loopDelayMonitor: delays.LoopDelayMonitor | undefined;
   private entryIndex: decisions.EntryIndex | undefined;
   private configuration: entry.EntryConfiguration | undefined;
--- a/src/services/http/BodyBuffer.ts
+++ b/src/services/http/BodyBuffer.ts
@@ -1,5 +1,4 @@
-import type * as decisions from '../../decisions/bodies/index.js';
-import * as counters from './PieceCounter.js';
+import * as decisions from '../../decisions/bodies/index.js';
 
 /** Smaller pieces are copied into blocks, since each object that is kept takes far more memory than a small piece. */
 const MIN_KEPT_PIECE_BYTES = 4096;
@@ -12,17 +11,19 @@
   private readonly parts: Buffer[] = [];
   private block = Buffer.alloc(0);
   private usedBlockBytes = 0;
-  private readonly counter: counters.PieceCounter;
+  private readonly direction: decisions.BodyDirection;
+  private pieceCount = 0;
+  private receivedBytes = 0;
   private reservedBytes = 0;
 
   /** @param direction Whether the body is that of a request or of an answer. */
   constructor(direction: decisions.BodyDirection) {
-    this.counter = new counters.PieceCounter(direction);
+    this.direction = direction;
   }
 
   /** The number of bytes of the body that have been added. */
   get sizeBytes(): number {
-    return this.counter.sizeBytes;
+    return this.receivedBytes;
   }
 
   /** The memory that is held in bytes, with what is reserved for further pieces. */
@@ -30,16 +31,20 @@
     return this.reservedBytes;
   }
 
-  /** Whether the pieces are too many for the body's size. */
-  get isFragmented(): boolean {
-    return this.counter.isFragmented;
+  /** The number of pieces beyond what the body's size explains. */
+  get excessPieceCount(): number {
+    return decisions.getExcessPieceCount(
+      this.direction,
+      this.pieceCount,
+      this.receivedBytes,
+    );
   }
 
   /** Adds the next piece. It must not be changed afterwards. */
   add(piece: Buffer): void {
-    const isFirst = this.counter.sizeBytes === 0;
-    this.counter.add(piece.length);
-    if (isFirst || shouldKeep(piece)) {
+    this.pieceCount += 1;
+    this.receivedBytes += piece.length;
+    if (this.pieceCount === 1 || shouldKeep(piece)) {
       this.closeBlock();
       this.parts.push(piece);
       this.reservedBytes += piece.buffer.byteLength;
@@ -54,14 +59,22 @@
     }
   }
 
+  /** Counts the next piece, without holding it. */
+  skip(piece: Buffer): void {
+    this.pieceCount += 1;
+    this.receivedBytes += piece.length;
+  }
+
   /** Gets the whole body. */
   toBytes(): Buffer {
     this.closeBlock();
     return this.parts.length === 1 ? this.parts[0] : Buffer.concat(this.parts);
   }
 
-  /** Frees the memory. */
+  /** Frees the memory; the buffer is as new. */
   clear(): void {
+    this.pieceCount = 0;
+    this.receivedBytes = 0;
     this.parts.length = 0;
     this.block = Buffer.alloc(0);
     this.usedBlockBytes = 0;
--- a/src/services/http/BodyMemory.ts
+++ b/src/services/http/BodyMemory.ts
@@ -1,55 +1,63 @@
+import * as decisions from '../../decisions/bodies/index.js';
+import * as limits from './SharedLimit.js';
+
 /**
  * The most bytes of bodies that one process holds in one direction, from callers or from upstreams: the smallest VM
  * has 350 MB, of which the process itself takes less than half.
  */
 export const MAX_HELD_BYTES = 64 * 1024 * 1024;
 
-/** A body that takes memory. */
+/** Why a body is dropped. */
+export type DropReason =
+  /** The bodies take too much memory together. */
+  | 'memory'
+  /** The bodies come in too many small pieces together. */
+  | 'fragmented';
+
+/** A body that is being received. */
 export interface HeldBody {
   /** The memory in bytes that the body takes. */
   readonly heldBytes: number;
 
-  /** Stops receiving the body and frees its memory. */
-  drop(): void;
+  /** The number of pieces beyond what the body's size explains. */
+  readonly excessPieceCount: number;
+
+  /** Stops receiving the body and removes it from the memory that it is counted in. */
+  drop(reason: DropReason): void;
 }
 
-/**
- * Bounds the memory that bodies take, whatever is sent. When they take too much, the largest of those that are being
- * received is dropped, so that a few bodies without end do not cost other requests theirs.
- */
+/** Bounds the memory and the processor time that the bodies of one direction take together. */
 export class BodyMemory {
-  private readonly receiving = new Map<HeldBody, number>();
-  private readonly complete = new Map<HeldBody, number>();
-  private totalBytes = 0;
+  private readonly bytes = new limits.SharedLimit<HeldBody>(
+    MAX_HELD_BYTES,
+    body => body.drop('memory'),
+  );
+  private readonly pieces: limits.SharedLimit<HeldBody>;
+
+  /** @param direction Whether the bodies are those of requests or of answers. */
+  constructor(direction: decisions.BodyDirection) {
+    this.pieces = new limits.SharedLimit<HeldBody>(
+      decisions.getMaxExcessPieceCount(direction),
+      body => body.drop('fragmented'),
+    );
+  }
 
   /** Counts what a body takes while it is being received; may drop that body or another one. */
   update(body: HeldBody): void {
-    const {heldBytes} = body;
-    this.totalBytes += heldBytes - (this.receiving.get(body) ?? 0);
-    this.receiving.set(body, heldBytes);
-    if (this.totalBytes > MAX_HELD_BYTES) this.dropLargest();
+    this.bytes.update(body, body.heldBytes);
+    // Does nothing for a body that has just been dropped: it holds nothing any more.
+    this.pieces.update(body, body.excessPieceCount);
   }
 
-  /** Records that a body has been received; it is counted until it is removed, but no longer dropped. */
+  /** Records that a body has been received; its memory counts until it is removed, but it is no longer dropped. */
   setComplete(body: HeldBody): void {
-    const heldBytes = this.receiving.get(body);
-    if (heldBytes === undefined) return;
-    this.receiving.delete(body);
-    this.complete.set(body, heldBytes);
+    this.bytes.setComplete(body);
+    this.pieces.remove(body);
   }
 
   /** Forgets a body that is no longer held. */
   remove(body: HeldBody): void {
-    this.totalBytes -= this.receiving.get(body) ?? this.complete.get(body) ?? 0;
-    this.receiving.delete(body);
-    this.complete.delete(body);
-  }
-
-  private dropLargest(): void {
-    let largest: HeldBody | undefined;
-    let largestBytes = 0;
-    for (const [body, bytes] of this.receiving)
-      if (bytes > largestBytes) [largest, largestBytes] = [body, bytes];
-    largest?.drop();
+    this.bytes.remove(body);
+    this.pieces.remove(body);
   }
 }
--- a/src/services/http/BodyReader.ts
+++ b/src/services/http/BodyReader.ts
@@ -7,9 +7,9 @@
 export type BodyResult =
   | {readonly kind: 'complete'; readonly bytes: Buffer}
   | {readonly kind: 'tooLarge'}
-  /** The body came in too many small pieces. */
+  /** The body came in too many small pieces, most of those that the process receives. */
   | {readonly kind: 'fragmented'}
-  /** The bodies that the process holds took too much memory. */
+  /** The bodies that the process receives took too much memory together. */
   | {readonly kind: 'dropped'}
   /** The body did not arrive in time. */
   | {readonly kind: 'expired'}
@@ -17,11 +17,10 @@
 
 /** The limits on one body. */
 export interface BodyLimits {
-  readonly direction: decisions.BodyDirection;
   readonly maxBytes: number;
 
-  /** Bounds the body together with others; unbounded when omitted. */
-  readonly memory?: memories.BodyMemory;
+  /** Bounds the body together with others. */
+  readonly memory: memories.BodyMemory;
 
   /** Aborted when the time for reading the body has expired. */
   readonly expirySignal?: AbortSignal;
@@ -38,18 +37,26 @@
   private isSettled = false;
 
   /** @param source The body; nothing has been read from it yet. */
-  constructor(source: stream.Readable, limits: BodyLimits) {
+  constructor(
+    source: stream.Readable,
+    direction: decisions.BodyDirection,
+    limits: BodyLimits,
+  ) {
     this.source = source;
     this.limits = limits;
-    this.buffer = new buffers.BodyBuffer(limits.direction);
+    this.buffer = new buffers.BodyBuffer(direction);
   }
 
   get heldBytes(): number {
     return this.buffer.heldBytes;
   }
 
-  drop(): void {
-    this.settle({kind: 'dropped'});
+  get excessPieceCount(): number {
+    return this.buffer.excessPieceCount;
+  }
+
+  drop(reason: memories.DropReason): void {
+    this.settle({kind: reason === 'memory' ? 'dropped' : reason});
   }
 
   /** Reads the body to its end or to the first limit that it exceeds. */
@@ -69,17 +76,15 @@
 
   /** Frees the body's part of the common memory, once the body is no longer needed. */
   release(): void {
-    this.limits.memory?.remove(this);
+    this.limits.memory.remove(this);
   }
 
   private add(piece: Buffer): void {
     if (this.isSettled) return;
     const {buffer, limits} = this;
-    const heldBefore = buffer.heldBytes;
     buffer.add(piece);
     if (buffer.sizeBytes > limits.maxBytes) this.settle({kind: 'tooLarge'});
-    else if (buffer.isFragmented) this.settle({kind: 'fragmented'});
-    else if (buffer.heldBytes !== heldBefore) limits.memory?.update(this);
+    else limits.memory.update(this);
   }
 
   private settle(result: BodyResult): void {
@@ -90,7 +95,7 @@
     limits.expirySignal?.removeEventListener('abort', this.onExpired);
     this.buffer.clear();
     if (result.kind === 'complete') {
-      limits.memory?.setComplete(this);
+      limits.memory.setComplete(this);
     } else {
       this.release();
       source.resume();
--- a/src/services/http/answerRpcRequest.ts
+++ b/src/services/http/answerRpcRequest.ts
@@ -1,6 +1,7 @@
 import type * as http from 'node:http';
 import type * as h3 from 'h3';
 import * as errors from '../../model/errors/index.js';
+import * as memories from './BodyMemory.js';
 import * as sizes from './bodySizes.js';
 import * as bodies from './readBody.js';
 
@@ -21,6 +22,7 @@
   try {
     const {bytes} = await bodies.readBody(request, response, {
       maxBytes: sizes.MAX_INTERNAL_BODY_BYTES,
+      memory: new memories.BodyMemory('request'),
     });
     return await answer(bytes.toString('utf8'));
   } catch (thrown) {
--- a/src/services/http/index.ts
+++ b/src/services/http/index.ts
@@ -13,6 +13,6 @@
 export * from './ResetMonitor.js';
 export * from './endBeforeBody.js';
 export * from './limitAnswerBytes.js';
-export * from './PieceCounter.js';
 export * from './readBody.js';
+export * from './SharedLimit.js';
 export * from './isNotSent.js';
--- a/src/services/http/readBody.ts
+++ b/src/services/http/readBody.ts
@@ -1,6 +1,7 @@
 import type * as http from 'node:http';
 import type * as stream from 'node:stream';
 import * as errors from '../../model/errors/index.js';
+import * as memories from './BodyMemory.js';
 import * as readers from './BodyReader.js';
 
 /** The largest body in bytes that a request may have by default. */
@@ -29,16 +30,13 @@
 export async function readBody(
   request: http.IncomingMessage,
   response: http.ServerResponse,
-  limits: Omit<readers.BodyLimits, 'direction'>,
+  limits: readers.BodyLimits,
 ): Promise<RequestBody> {
   if (!hasBody(request)) return EMPTY_REQUEST_BODY;
   if (Number(request.headers['content-length']) > limits.maxBytes)
     throw createTooLargeError(limits.maxBytes);
   if (isAwaitingContinue(request)) response.writeContinue();
-  const reader = new readers.BodyReader(request, {
-    ...limits,
-    direction: 'request',
-  });
+  const reader = new readers.BodyReader(request, 'request', limits);
   const result = await reader.read();
   switch (result.kind) {
     case 'complete':
@@ -65,9 +63,9 @@
   body: stream.Readable,
   maxBytes: number,
 ): Promise<string> {
-  const result = await new readers.BodyReader(body, {
+  const result = await new readers.BodyReader(body, 'answer', {
     maxBytes,
-    direction: 'answer',
+    memory: new memories.BodyMemory('answer'),
   }).read();
   if (result.kind === 'complete') return result.bytes.toString('utf8');
   body.destroy();
--- a/src/services/upstreams/UpstreamClient.ts
+++ b/src/services/upstreams/UpstreamClient.ts
@@ -51,11 +51,20 @@
 export class UpstreamClient {
   private readonly upstreamId: string;
   private readonly pool: undici.Pool;
+  private readonly memory: httpService.BodyMemory;
   private readonly resetMonitor = new httpService.ResetMonitor();
 
-  /** @param address Where the upstream listens, as host:port. */
-  constructor(upstreamId: string, address: string) {
+  /**
+   * @param address Where the upstream listens, as host:port.
+   * @param memory Bounds the answers that are being received, together with those of other upstreams.
+   */
+  constructor(
+    upstreamId: string,
+    address: string,
+    memory = new httpService.BodyMemory('answer'),
+  ) {
     this.upstreamId = upstreamId;
+    this.memory = memory;
     this.pool = new undici.Pool(`http://${address}`, {
       connections: MAX_CONNECTIONS,
       pipelining: 1,
@@ -77,6 +86,7 @@
         this.upstreamId,
         outbound,
         this.resetMonitor,
+        this.memory,
         resolve,
       );
       this.pool.dispatch(
@@ -98,14 +108,16 @@
 }
 
 /** Sends one request on a connection and collects its answer. */
-class Exchange implements undici.Dispatcher.DispatchHandler {
+class Exchange
+  implements undici.Dispatcher.DispatchHandler, httpService.HeldBody
+{
   private readonly upstreamId: string;
   private readonly outbound: OutboundRequest;
   private readonly resetMonitor: httpService.ResetMonitor;
+  private readonly memory: httpService.BodyMemory;
   private readonly resolve: (result: SendResult) => void;
   private readonly timer: httpService.ReadTimer;
   private readonly body = new httpService.BodyBuffer('answer');
-  private readonly pieces = new httpService.PieceCounter('answer');
   private readonly onAbandoned = () => this.abort({kind: 'abandoned'});
   private controller: undici.Dispatcher.DispatchController | undefined;
   private interimCount = 0;
@@ -119,11 +131,13 @@
     upstreamId: string,
     outbound: OutboundRequest,
     resetMonitor: httpService.ResetMonitor,
+    memory: httpService.BodyMemory,
     resolve: (result: SendResult) => void,
   ) {
     this.upstreamId = upstreamId;
     this.outbound = outbound;
     this.resetMonitor = resetMonitor;
+    this.memory = memory;
     this.resolve = resolve;
     this.timer = new httpService.ReadTimer(outbound.remainingMs, () =>
       this.abort({kind: 'timedOut'}),
@@ -131,6 +145,18 @@
     outbound.abandoned.addEventListener('abort', this.onAbandoned);
   }
 
+  get heldBytes(): number {
+    return this.body.heldBytes;
+  }
+
+  get excessPieceCount(): number {
+    return this.body.excessPieceCount;
+  }
+
+  drop(): void {
+    this.abort({kind: 'broken'});
+  }
+
   onRequestStart(controller: undici.Dispatcher.DispatchController): void {
     if (!this.outbound.isStillEligible())
       this.fail(
@@ -174,17 +200,16 @@
     controller: undici.Dispatcher.DispatchController,
     chunk: Buffer,
   ): void {
-    this.pieces.add(chunk.length);
-    if (this.pieces.isFragmented) {
-      this.abort({kind: 'broken'});
-      return;
+    const {output, body} = this;
+    if (output === undefined) body.add(chunk);
+    else body.skip(chunk);
+    this.memory.update(this);
+    if (output !== undefined) {
+      if (!output.destroyed && !output.write(chunk))
+        this.pause(controller, output);
+    } else if (body.sizeBytes > MAX_BUFFERED_BYTES) {
+      this.startStream();
     }
-    if (this.output !== undefined) {
-      if (!this.output.write(chunk)) this.pause(controller, this.output);
-      return;
-    }
-    this.body.add(chunk);
-    if (this.body.sizeBytes > MAX_BUFFERED_BYTES) this.startStream();
   }
 
   onResponseEnd(): void {
@@ -192,13 +217,10 @@
       this.fail('broken', new Error('reset within the answer'));
       return;
     }
-    this.cleanUp();
-    if (this.output !== undefined) {
-      this.output.end();
-      return;
-    }
-    if (this.isShed) this.settle({kind: 'shed'});
+    if (this.output !== undefined) this.output.end();
+    else if (this.isShed) this.settle({kind: 'shed'});
     else this.settleAnswered({kind: 'whole', bytes: this.body.toBytes()});
+    this.cleanUp();
   }
 
   onResponseError(
@@ -252,6 +274,8 @@
   }
 
   private cleanUp(): void {
+    this.memory.remove(this);
+    this.body.clear();
     this.timer.cancel();
     this.outbound.abandoned.removeEventListener('abort', this.onAbandoned);
   }
--- a/src/services/upstreams/UpstreamTable.ts
+++ b/src/services/upstreams/UpstreamTable.ts
@@ -1,6 +1,7 @@
 import * as decisions from '../../decisions/index.js';
 import type * as configurations from '../../model/configuration/index.js';
 import type * as fleet from '../../model/fleet/index.js';
+import * as httpService from '../http/index.js';
 import * as clients from './UpstreamClient.js';
 import type * as entries from './UpstreamEntry.js';
 
@@ -17,6 +18,7 @@
 export class UpstreamTable {
   private readonly location: Location;
   private readonly byId = new Map<string, entries.UpstreamEntry>();
+  private readonly answerMemory = new httpService.BodyMemory('answer');
   private isFirstUpdate = true;
 
   /** @param location The location from which the distances to upstreams are determined. */
@@ -143,7 +145,8 @@
     const existing = this.byId.get(upstreamId);
     const address = `${upstream.host}:${upstream.port}`;
     const client =
-      existing?.client ?? new clients.UpstreamClient(upstreamId, address);
+      existing?.client ??
+      new clients.UpstreamClient(upstreamId, address, this.answerMemory);
     const view: decisions.UpstreamView = {
       ...(existing?.view ?? this.getInitialView(nowMs)),
       upstreamId,
--- a/test/services/dispatch/UpstreamConnections.test.ts
+++ b/test/services/dispatch/UpstreamConnections.test.ts
@@ -184,7 +184,7 @@
   void test.it(
     'bounds the memory that many endless answers take together',
     async () => {
-      const memory = new httpService.BodyMemory();
+      const memory = new httpService.BodyMemory('answer');
       const started = await Promise.all(
         Array.from({length: ENDLESS_UPSTREAM_COUNT + 1}, async (_, index) => {
           const upstream = new upstreams.FakeUpstream('i-0');
--- a/test/services/http/readBody.test.ts
+++ b/test/services/http/readBody.test.ts
@@ -19,7 +19,10 @@
     {host: '127.0.0.1', port: 0},
     (request, response) => {
       void http
-        .readBody(request, response, {maxBytes: MAX_BYTES})
+        .readBody(request, response, {
+          maxBytes: MAX_BYTES,
+          memory: new http.BodyMemory('request'),
+        })
         .then(({bytes}) => `read ${bytes.length}`)
         .catch((thrown: unknown) => errors.toError(thrown).kind)
         .then(result => {
