Survive the end of a connection whose answer is paused

A daemon ended by an uncaught exception when an upstream closed, or reset, the connection of an answer without a length that was paused for a slow caller. Found while the related paths of the endless answers were read.

Cause: the undici client fails an assertion when a socket ends while its parser is paused (`Parser.finish`). An error on the stream of an answer that nobody reads yet ended the process as well.

Change: `AnswerPauser` listens on the sockets before the client does. It resumes paused answers at the end of a connection, and gives a reset another code, which the client handles as an error. The entry program pauses no answers.

--- a/src/services/http/index.ts
+++ b/src/services/http/index.ts
@@ -5,6 +5,7 @@
 export * from './CallerConnection.js';
 export * from './CallerConnections.js';
 export * from './HttpListener.js';
+export * from './AnswerPauser.js';
 export * from './answerRpcRequest.js';
 export * from './bodySizes.js';
 export * from './ReadBarrier.js';
--- a/src/services/upstreams/UpstreamClient.ts
+++ b/src/services/upstreams/UpstreamClient.ts
@@ -53,6 +53,7 @@
   private readonly pool: undici.Pool;
   private readonly memory: httpService.BodyMemory;
   private readonly resetMonitor = new httpService.ResetMonitor();
+  private readonly pauser = new httpService.AnswerPauser();
 
   /**
    * @param address Where the upstream listens, as host:port.
@@ -72,7 +73,9 @@
       keepAliveMaxTimeout: KEEP_ALIVE_TIMEOUT_MS,
       headersTimeout: 0,
       bodyTimeout: 0,
-      connect: this.resetMonitor.getConnector(CONNECT_TIMEOUT_MS),
+      connect: this.pauser.getConnector(
+        this.resetMonitor.getConnector(CONNECT_TIMEOUT_MS),
+      ),
     });
   }
 
@@ -86,6 +89,7 @@
         this.upstreamId,
         outbound,
         this.resetMonitor,
+        this.pauser,
         this.memory,
         resolve,
       );
@@ -114,6 +118,7 @@
   private readonly upstreamId: string;
   private readonly outbound: OutboundRequest;
   private readonly resetMonitor: httpService.ResetMonitor;
+  private readonly pauser: httpService.AnswerPauser;
   private readonly memory: httpService.BodyMemory;
   private readonly resolve: (result: SendResult) => void;
   private readonly timer: httpService.ReadTimer;
@@ -131,12 +136,14 @@
     upstreamId: string,
     outbound: OutboundRequest,
     resetMonitor: httpService.ResetMonitor,
+    pauser: httpService.AnswerPauser,
     memory: httpService.BodyMemory,
     resolve: (result: SendResult) => void,
   ) {
     this.upstreamId = upstreamId;
     this.outbound = outbound;
     this.resetMonitor = resetMonitor;
+    this.pauser = pauser;
     this.memory = memory;
     this.resolve = resolve;
     this.timer = new httpService.ReadTimer(outbound.remainingMs, () =>
@@ -200,6 +207,8 @@
     controller: undici.Dispatcher.DispatchController,
     chunk: Buffer,
   ): void {
+    // The client passes on an empty piece when an answer is resumed.
+    if (chunk.length === 0) return;
     const {output, body} = this;
     if (output === undefined) body.add(chunk);
     else body.skip(chunk);
@@ -240,6 +249,8 @@
 
   private startStream(): void {
     this.output = new stream.PassThrough();
+    // An error that comes before anybody reads the answer would end the process; it is thrown to the reader instead.
+    this.output.on('error', () => {});
     this.output.write(this.body.toBytes());
     this.body.clear();
     this.settleAnswered({kind: 'stream', chunks: this.output});
@@ -249,8 +260,8 @@
     controller: undici.Dispatcher.DispatchController,
     output: stream.PassThrough,
   ): void {
-    controller.pause();
-    output.once('drain', () => controller.resume());
+    this.pauser.pause(controller);
+    output.once('drain', () => this.pauser.resume(controller));
   }
 
   private abort(result: SendResult): void {
@@ -276,6 +287,7 @@
   private cleanUp(): void {
     this.memory.remove(this);
     this.body.clear();
+    if (this.controller !== undefined) this.pauser.forget(this.controller);
     this.timer.cancel();
     this.outbound.abandoned.removeEventListener('abort', this.onAbandoned);
   }
--- a/test/services/upstreams/UpstreamClient.test.ts
+++ b/test/services/upstreams/UpstreamClient.test.ts
@@ -62,6 +62,30 @@
   }
 }
 
+/** Larger than an answer that is buffered as a whole, and smaller than the socket buffers. */
+const LARGE_ANSWER_BYTES = 330_000;
+
+/** How long the connection stays open, so that the answer is paused by then. */
+const END_DELAY_MS = 50;
+
+/** How long the answer is not read: until the connection has ended. */
+const PAUSE_MS = 150;
+
+/** Gets the size of an answer that is streamed; undefined if it breaks off. */
+async function countBytes(
+  result: clients.SendResult,
+): Promise<number | undefined> {
+  if (result.kind !== 'answered' || result.answer.body.kind !== 'stream')
+    return undefined;
+  let bytes = 0;
+  try {
+    for await (const chunk of result.answer.body.chunks) bytes += chunk.length;
+    return bytes;
+  } catch {
+    return undefined;
+  }
+}
+
 void test.describe('UpstreamClient', {timeout: 60_000}, () => {
   // Guards against treating a cut-off answer as complete.
   for (const mode of ['unframedReset', 'unframedResetAtOnce'] as const)
@@ -78,6 +102,29 @@
       },
     );
 
+  // Guards against a client that ends the process when a connection ends while the answer on it is paused.
+  for (const [kind, expectedBytes] of [
+    ['end', LARGE_ANSWER_BYTES],
+    ['reset', undefined],
+  ] as const)
+    void test.it(
+      `survives the ${kind} of a connection whose answer is paused`,
+      async () => {
+        await cuts.withClosingUpstream(
+          `HTTP/1.1 200 OK\r\n\r\n${'z'.repeat(LARGE_ANSWER_BYTES)}`,
+          kind,
+          async address => {
+            const client = new clients.UpstreamClient('i-0', address);
+            const result = await client.send(getOutboundRequest('q'));
+            await timers.setTimeout(PAUSE_MS);
+            earl.expect(await countBytes(result)).toEqual(expectedBytes);
+            await client.close();
+          },
+          END_DELAY_MS,
+        );
+      },
+    );
+
   void test.it(
     'sends no request to an upstream that is no longer eligible',
     async () => {
--- a/test/support/upstreams/withClosingUpstream.ts
+++ b/test/support/upstreams/withClosingUpstream.ts
@@ -7,24 +7,31 @@
 /**
  * Starts an upstream that writes `answer`, complete or cut short, to each connection that sends a request and then
  * closes the connection. Calls `run` with its address and stops it afterwards.
+ *
+ * @param delayMs How long the connection stays open behind the answer, in milliseconds.
  */
 export async function withClosingUpstream(
   answer: string,
   kind: CloseKind,
   run: (address: string) => Promise<void>,
+  delayMs = 0,
 ): Promise<void> {
+  const close = (socket: net.Socket) => {
+    switch (kind) {
+      case 'end':
+        socket.end();
+        return;
+      case 'reset':
+        sockets.resetSocket(socket);
+    }
+  };
   const server = net.createServer(socket => {
     socket.on('error', () => socket.destroy());
     socket.once('data', () => {
       // Waits until the bytes are sent, because a reset discards those that are still in the buffer.
       socket.write(answer, () => {
-        switch (kind) {
-          case 'end':
-            socket.end();
-            return;
-          case 'reset':
-            sockets.resetSocket(socket);
-        }
+        if (delayMs === 0) close(socket);
+        else setTimeout(close, delayMs, socket);
       });
     });
   });
