--- a/src/services/http/BodyReader.ts
+++ b/src/services/http/BodyReader.ts
@@ -26,7 +26,7 @@
   readonly expirySignal?: AbortSignal;
 }
 
-/** Reads the whole body of a request or of an answer. What comes after a failure is discarded. */
+/** Reads the whole body of a request or of an answer. Discards the bytes that follow a failure. */
 export class BodyReader implements memories.HeldBody {
   private readonly source: stream.Readable;
   private readonly limits: BodyLimits;
