--- a/src/services/http/AnswerPauser.ts
+++ b/src/services/http/AnswerPauser.ts
@@ -7,7 +7,8 @@
 /**
  * Pauses answers of one upstream while their callers are slow. The undici client fails an assertion when a connection
  * ends, or is reset, while an answer without a length is paused on it, and the failed assertion would end the process.
- * This class listens on the sockets before the client does, and has the client see neither.
+ * This class listens on the sockets before the client does: it resumes the answer when the connection ends, and turns a
+ * reset into an error that the client does not take for the end of an answer.
  */
 export class AnswerPauser {
   private readonly paused = new Set<undici.Dispatcher.DispatchController>();
--- a/src/services/http/bodySizes.ts
+++ b/src/services/http/bodySizes.ts
@@ -1,6 +1,6 @@
 const MIB = 1_048_576;
 
-/** The most interim answers that an upstream may send before its answer; they are not passed on. */
+/** The maximum number of interim answers (1xx) before an upstream's answer; they are not passed on. */
 export const MAX_INTERIM_ANSWERS = 100;
 
 /**
--- a/src/services/http/endBeforeBody.ts
+++ b/src/services/http/endBeforeBody.ts
@@ -7,7 +7,7 @@
 /** The rest of a body that is announced to be no longer than this is read to its end. */
 const MAX_SHORT_BODY_BYTES = 65_536;
 
-/** A body in more pieces is not waited for. */
+/** The number of pieces from which the body of a refused request counts as long. */
 const MAX_DISCARDED_PIECES = 64;
 
 /**
