Stop requests that crash upstreams on both request paths

What callers saw: one request, sent 50 times in 23 s to three entry VMs, crashed 20 upstreams (safe, one object) and 38 (unsafe, many objects, VMs killed meanwhile), 16 and 29 of them later than 3 s after the third.

Cause: the quarantine lived in the daemon's UpstreamsTask. DispatchTask, the entry program's path, never recorded a broken connection.

Change: one service, QuarantineTask, for both paths. A broken connection counts only if the upstream holds no new connection afterwards; crashes count in a row and are cleared by an answer; attempts sent side by side count as one. Peers are told by datagrams (entry VMs) or calls (daemons), and a VM that starts asks two peers. A quarantined request is sent as a trial after 3, 30 and then every 300 s.

The daemon's own test, two crashes, is unchanged.

Wire: the peers' method reportBreak is replaced by exchangeSuspects; during a rolling update VMs of both versions do not share crashes.

--- a/src/codecs/http/digests.ts
+++ b/src/codecs/http/digests.ts
@@ -8,7 +8,7 @@
 
 /** Returns the SHA-256 digest, in hexadecimal, of a request's organisation, method, target and body. */
 export function getRequestDigestHex(
-  request: requests.CallerRequest,
+  request: Pick<requests.CallerRequest, 'method' | 'target' | 'body'>,
   organisationId: string,
 ): string {
   return crypto
--- a/src/codecs/members/memberStatus.ts
+++ b/src/codecs/members/memberStatus.ts
@@ -2,6 +2,7 @@
 import * as jsonRpc from 'json-rpc-2.0';
 import * as zod from 'zod';
 import type * as entry from '../../model/entry/index.js';
+import type * as peers from '../../model/peers/index.js';
 import * as schemas from '../schemas/index.js';
 import * as addresses from './socketAddress.js';
 
@@ -10,6 +11,8 @@
 /** A method of its own: daemons of earlier versions reject statuses with unknown fields. */
 const LEAVING_METHOD = 'upstreamLeaving';
 
+const SUSPECTS_METHOD = 'suspects';
+
 /** Compressed datagrams begin with this byte, which no JSON text begins with. */
 const ZLIB_FIRST_BYTE = 0x78;
 
@@ -91,18 +94,34 @@
   b: zod.int().min(0),
 });
 
+/** For each request: its digest, its generation, its crashes in a row, and the times to its trial and its expiry. */
+const suspectsSchema = zod.array(
+  zod.tuple([
+    zod.string(),
+    zod.int().min(0),
+    zod.int().min(0),
+    zod.number().min(0),
+    zod.number().min(0),
+  ]),
+);
+
 const datagramSchema = zod.discriminatedUnion('method', [
   zod.object({method: zod.literal(STATUS_METHOD), params: statusSchema}),
   zod.object({
     method: zod.literal(LEAVING_METHOD),
     params: upstreamLeavingSchema,
   }),
+  zod.object({method: zod.literal(SUSPECTS_METHOD), params: suspectsSchema}),
 ]);
 
 /** The content of a datagram from a peer. */
 export type MemberDatagram =
   | {readonly kind: 'status'; readonly status: entry.MemberStatus}
-  | {readonly kind: 'upstreamLeaving'; readonly start: entry.UpstreamStart};
+  | {readonly kind: 'upstreamLeaving'; readonly start: entry.UpstreamStart}
+  | {
+      readonly kind: 'suspects';
+      readonly suspects: readonly peers.SuspectReport[];
+    };
 
 /** Encodes a VM's status as a UDP datagram for its peers. */
 export function encodeMemberStatus(status: entry.MemberStatus): Uint8Array {
@@ -133,6 +152,20 @@
   return encodeDatagram(LEAVING_METHOD, params);
 }
 
+/** Encodes suspect requests as a UDP datagram for peers. */
+export function encodeSuspects(
+  suspects: readonly peers.SuspectReport[],
+): Uint8Array {
+  const params: zod.infer<typeof suspectsSchema> = suspects.map(suspect => [
+    suspect.requestDigestHex,
+    suspect.generation,
+    suspect.crashCount,
+    Math.ceil(suspect.trialInMs),
+    Math.ceil(suspect.expiresInMs),
+  ]);
+  return encodeDatagram(SUSPECTS_METHOD, params);
+}
+
 /** Decodes a datagram from a peer. @throws BramleyrunError of kind invalidPeerMessage. */
 export function decodeMemberDatagram(bytes: Uint8Array): MemberDatagram {
   const datagram = schemas.parseJsonOrThrow(
@@ -145,6 +178,11 @@
       return {kind: 'status', status: decodeStatus(datagram.params)};
     case LEAVING_METHOD:
       return {kind: 'upstreamLeaving', start: decodeStart(datagram.params)};
+    case SUSPECTS_METHOD:
+      return {
+        kind: 'suspects',
+        suspects: datagram.params.map(decodeSuspect),
+      };
   }
 }
 
@@ -166,6 +204,16 @@
   ).toString('utf8');
 }
 
+function decodeSuspect([
+  requestDigestHex,
+  generation,
+  crashCount,
+  trialInMs,
+  expiresInMs,
+]: zod.infer<typeof suspectsSchema>[number]): peers.SuspectReport {
+  return {requestDigestHex, generation, crashCount, trialInMs, expiresInMs};
+}
+
 function decodeStart(
   params: zod.infer<typeof upstreamLeavingSchema>,
 ): entry.UpstreamStart {
--- a/src/codecs/peers/peerSchemas.ts
+++ b/src/codecs/peers/peerSchemas.ts
@@ -19,6 +19,17 @@
   levelTokens: zod.number().min(0),
 });
 
+const suspectReportsSchema: zod.ZodType<readonly peers.SuspectReport[]> =
+  zod.array(
+    zod.strictObject({
+      requestDigestHex: zod.string(),
+      generation: zod.int().min(0),
+      crashCount: zod.int().min(0),
+      trialInMs: zod.number().min(0),
+      expiresInMs: zod.number().min(0),
+    }),
+  );
+
 /** The schema of a request of one daemon to another. */
 export const peerRequestSchema: zod.ZodType<peers.PeerRequest> =
   zod.discriminatedUnion('kind', [
@@ -55,9 +66,8 @@
       processId: zod.string(),
     }),
     zod.strictObject({
-      kind: zod.literal('reportBreak'),
-      requestDigestHex: zod.string(),
-      upstreamId: zod.string(),
+      kind: zod.literal('exchangeSuspects'),
+      suspects: suspectReportsSchema,
     }),
     zod.strictObject({kind: zod.literal('getSharedState')}),
     zod.strictObject({kind: zod.literal('getKnowledge')}),
@@ -98,6 +108,10 @@
       kind: zod.literal('lent'),
       lentCount: zod.int().min(0),
     }),
+    zod.strictObject({
+      kind: zod.literal('suspects'),
+      suspects: suspectReportsSchema,
+    }),
     zod.strictObject({kind: zod.literal('claim'), report: claimReportSchema}),
     zod.strictObject({
       kind: zod.literal('sharedState'),
--- a/src/decisions/retries/Quarantine.ts
+++ b/src/decisions/retries/Quarantine.ts
@@ -1,67 +1,175 @@
-/** A request during which the connections to some upstreams broke, which may mean that it crashes upstreams. */
+/** A request that was running at an upstream when the upstream crashed, and that may be the cause. */
 export interface SuspectRequest {
   /** The SHA-256 digest of the request, in hexadecimal. */
   readonly requestDigestHex: string;
 
-  /** The upstreams whose connection broke while they were running the request. */
-  readonly upstreamIds: readonly string[];
+  /** How often answers have cleared the request; crashes of an earlier generation no longer count. */
+  readonly generation: number;
 
-  /** Wall-clock time in milliseconds at which this record expires. */
+  /** The number of crashes in a row: each by an attempt that was sent after the previous crash was known. */
+  readonly crashCount: number;
+
+  /** Monotonic time in milliseconds from which a quarantined request may be sent once more, as a trial. */
+  readonly nextTrialAtMs: number;
+
+  /** Monotonic time in milliseconds at which this record expires. */
   readonly expiresAtMs: number;
 }
 
-/** The suspect requests that one process has recorded, by request digest. */
+/** The suspect requests that one process knows, by request digest. */
 export type Quarantine = ReadonlyMap<string, SuspectRequest>;
 
-/** The number of upstreams whose connection may break during a request before the request is refused. */
-const MAX_FAILED_UPSTREAMS = 2;
+/** What was known of a request when an attempt to send it began. */
+export type AttemptMark = Pick<SuspectRequest, 'generation' | 'crashCount'>;
+
+/** Whether an attempt to send a request may begin. */
+export type QuarantineAdmission =
+  | {readonly kind: 'admitted'; readonly mark: AttemptMark}
+  /** The quarantined request is sent once more, since the crashes may have had another cause. */
+  | {readonly kind: 'trial'; readonly mark: AttemptMark}
+  | {readonly kind: 'quarantined'; readonly crashCount: number};
+
+/** The number of crashes in a row from which a request is quarantined. */
+const MAX_CRASHES = 2;
+
+/** How long in milliseconds a suspect request is recorded after its last crash. */
+export const SUSPECT_EXPIRY_MS = 600_000;
 
-/** How long in milliseconds a suspect request is recorded after the last broken connection. */
-const SUSPECT_EXPIRY_MS = 600_000;
+/** The time from a crash to the first trial of a quarantined request; each further crash multiplies it. */
+const FIRST_TRIAL_DELAY_MS = 3000;
+const TRIAL_DELAY_FACTOR = 10;
+const MAX_TRIAL_DELAY_MS = 300_000;
+
+/** The largest number of recorded requests. */
+export const MAX_SUSPECTS = 1024;
 
 /** The quarantine of a new process. */
 export const EMPTY_QUARANTINE: Quarantine = new Map();
 
-/** Records that the connection to an upstream broke while it was running a request, and removes expired records. */
-export function recordBrokenConnection(
+/** The mark of a request of which nothing is known. */
+export const UNSUSPECTED: AttemptMark = {generation: 0, crashCount: 0};
+
+/** Decides whether an attempt to send a request may begin at the monotonic time `nowMs`, in milliseconds. */
+export function decideAttempt(
   quarantine: Quarantine,
   requestDigestHex: string,
-  upstreamId: string,
   nowMs: number,
-): Quarantine {
-  const recordedIds = quarantine.get(requestDigestHex)?.upstreamIds ?? [];
-  const upstreamIds = recordedIds.includes(upstreamId)
-    ? recordedIds
-    : [...recordedIds, upstreamId];
-  const expiresAtMs = nowMs + SUSPECT_EXPIRY_MS;
-  const unexpired = new Map(
-    [...quarantine].filter(entry => entry[1].expiresAtMs > nowMs),
-  );
-  return unexpired.set(requestDigestHex, {
+): QuarantineAdmission {
+  const suspect = quarantine.get(requestDigestHex);
+  if (suspect === undefined || suspect.expiresAtMs <= nowMs)
+    return {kind: 'admitted', mark: UNSUSPECTED};
+  const {generation, crashCount} = suspect;
+  const mark: AttemptMark = {generation, crashCount};
+  if (crashCount < MAX_CRASHES) return {kind: 'admitted', mark};
+  return nowMs >= suspect.nextTrialAtMs
+    ? {kind: 'trial', mark}
+    : {kind: 'quarantined', crashCount};
+}
+
+/** Gets the suspect after a trial of it began: the next one has to wait. */
+export function applyTrial(
+  suspect: SuspectRequest,
+  nowMs: number,
+): SuspectRequest {
+  const nextTrialAtMs = nowMs + getTrialDelayMs(suspect.crashCount);
+  return {...suspect, nextTrialAtMs};
+}
+
+/**
+ * Gets the suspect after an upstream crashed that was running it. Attempts that were sent side by side count as one, as
+ * upstreams that crash together take the same requests with them.
+ *
+ * @param suspect What is known of the request now; undefined for nothing.
+ * @param mark What was known of it when the attempt began.
+ */
+export function applyCrash(
+  suspect: SuspectRequest | undefined,
+  requestDigestHex: string,
+  mark: AttemptMark,
+  nowMs: number,
+): SuspectRequest {
+  const generation = Math.max(suspect?.generation ?? 0, mark.generation);
+  const knownCount =
+    suspect?.generation === generation ? suspect.crashCount : 0;
+  const markedCount = mark.generation === generation ? mark.crashCount + 1 : 0;
+  const crashCount = Math.max(knownCount, markedCount);
+  return {
     requestDigestHex,
-    upstreamIds,
-    expiresAtMs,
-  });
+    generation,
+    crashCount,
+    nextTrialAtMs: nowMs + getTrialDelayMs(crashCount),
+    expiresAtMs: nowMs + SUSPECT_EXPIRY_MS,
+  };
 }
 
-/** Removes the record of a request that ran to completion and therefore does not crash upstreams. */
-export function clearSuspectRequest(
+/** Gets the suspect after an upstream answered the request, which therefore does not crash upstreams. */
+export function applyAnswer(suspect: SuspectRequest): SuspectRequest {
+  if (suspect.crashCount === 0) return suspect;
+  return {
+    ...suspect,
+    generation: suspect.generation + 1,
+    crashCount: 0,
+    nextTrialAtMs: -Infinity,
+  };
+}
+
+/** Merges what two processes know of a request: the newer generation, and within one the higher count. */
+export function mergeSuspects(
+  own: SuspectRequest | undefined,
+  other: SuspectRequest,
+): SuspectRequest {
+  if (own === undefined || other.generation > own.generation) return other;
+  if (other.generation < own.generation) return own;
+  return {
+    ...own,
+    crashCount: Math.max(own.crashCount, other.crashCount),
+    nextTrialAtMs: Math.max(own.nextTrialAtMs, other.nextTrialAtMs),
+    expiresAtMs: Math.max(own.expiresAtMs, other.expiresAtMs),
+  };
+}
+
+/** Records suspects, and removes expired ones; beyond MAX_SUSPECTS, those with the fewest crashes go first. */
+export function recordSuspects(
   quarantine: Quarantine,
-  requestDigestHex: string,
+  suspects: readonly SuspectRequest[],
+  nowMs: number,
 ): Quarantine {
-  if (!quarantine.has(requestDigestHex)) return quarantine;
+  const recorded = new Map(quarantine);
+  for (const suspect of suspects)
+    recorded.set(suspect.requestDigestHex, suspect);
+  for (const [requestDigestHex, {expiresAtMs}] of recorded)
+    if (expiresAtMs <= nowMs) recorded.delete(requestDigestHex);
+  if (recorded.size <= MAX_SUSPECTS) return recorded;
   return new Map(
-    [...quarantine].filter(entry => entry[0] !== requestDigestHex),
+    [...recorded]
+      .sort(([, a], [, b]) => compareImportance(b, a))
+      .slice(0, MAX_SUSPECTS),
   );
 }
 
-/** Whether a request must not be sent to any more upstreams, because the connections to too many of them broke. */
-export function isQuarantined(
+/** Chooses which suspects a process reports to a peer: those with the most crashes, then the latest ones. */
+export function chooseReportedSuspects(
   quarantine: Quarantine,
-  requestDigestHex: string,
-  nowMs: number,
-): boolean {
-  const suspect = quarantine.get(requestDigestHex);
-  if (suspect === undefined || suspect.expiresAtMs <= nowMs) return false;
-  return suspect.upstreamIds.length >= MAX_FAILED_UPSTREAMS;
+  maxCount: number,
+): readonly SuspectRequest[] {
+  return [...quarantine.values()]
+    .sort((a, b) => compareImportance(b, a))
+    .slice(0, maxCount);
+}
+
+/** Whether a suspect is quarantined: it is sent only as a trial. */
+export function isQuarantined(suspect: SuspectRequest): boolean {
+  return suspect.crashCount >= MAX_CRASHES;
+}
+
+function compareImportance(a: SuspectRequest, b: SuspectRequest): number {
+  return a.crashCount - b.crashCount || a.expiresAtMs - b.expiresAtMs;
+}
+
+function getTrialDelayMs(crashCount: number): number {
+  const trialCount = Math.max(0, crashCount - MAX_CRASHES);
+  return Math.min(
+    MAX_TRIAL_DELAY_MS,
+    FIRST_TRIAL_DELAY_MS * TRIAL_DELAY_FACTOR ** trialCount,
+  );
 }
--- a/src/model/peers/PeerMessage.ts
+++ b/src/model/peers/PeerMessage.ts
@@ -46,6 +46,24 @@
   /** The process that held the claim no longer exists; a different one responds at its address. */
   | {readonly kind: 'gone'};
 
+/** A request that may crash upstreams, as one process reports it to another. */
+export interface SuspectReport {
+  /** The SHA-256 digest of the request, in hexadecimal. */
+  readonly requestDigestHex: string;
+
+  /** How often answers have cleared the request. */
+  readonly generation: number;
+
+  /** The number of crashes in a row since then. */
+  readonly crashCount: number;
+
+  /** Time in milliseconds until the request may be sent once more as a trial. */
+  readonly trialInMs: number;
+
+  /** Time in milliseconds until the record expires. */
+  readonly expiresInMs: number;
+}
+
 /** A request of one daemon to another. */
 export type PeerRequest =
   | {readonly kind: 'heartbeat'; readonly status: PeerStatus}
@@ -87,11 +105,10 @@
       readonly attemptId: string;
       readonly processId: string;
     }
-  /** Reports a request during which the connection to an upstream broke. */
+  /** Reports the suspect requests that the sender knows; the answer has those of the receiver. */
   | {
-      readonly kind: 'reportBreak';
-      readonly requestDigestHex: string;
-      readonly upstreamId: string;
+      readonly kind: 'exchangeSuspects';
+      readonly suspects: readonly SuspectReport[];
     }
   | {readonly kind: 'getSharedState'}
   | {readonly kind: 'getKnowledge'}
@@ -113,6 +130,7 @@
       readonly retryAfterMs: number;
     }
   | {readonly kind: 'lent'; readonly lentCount: number}
+  | {readonly kind: 'suspects'; readonly suspects: readonly SuspectReport[]}
   | {readonly kind: 'claim'; readonly report: ClaimReport}
   | {
       readonly kind: 'sharedState';
--- a/src/programs/daemon/Daemon.ts
+++ b/src/programs/daemon/Daemon.ts
@@ -95,8 +95,14 @@
         ),
         [services.PLATFORM, services.PEERS],
       )
+      .add(
+        services.QUARANTINE,
+        new services.QuarantineTask({kind: 'fleet'}, seed),
+        [services.PEERS],
+      )
       .add(services.UPSTREAMS, new services.UpstreamsTask(settings.vm, seed), [
         services.PEERS,
+        services.QUARANTINE,
       ])
       .add(
         services.CALLERS,
--- a/src/programs/entry/EntryDaemon.ts
+++ b/src/programs/entry/EntryDaemon.ts
@@ -112,7 +112,19 @@
         new services.SharesTask(bounds, crypto.randomInt(2 ** 31)),
         [services.MEMBERS, services.PEERS],
       )
-      .add(services.DISPATCH, dispatch, [services.MEMBERS, services.KNOWLEDGE])
+      .add(
+        services.QUARANTINE,
+        new services.QuarantineTask(
+          {kind: 'members'},
+          crypto.randomInt(2 ** 31),
+        ),
+        [services.MEMBERS, services.PEERS],
+      )
+      .add(services.DISPATCH, dispatch, [
+        services.MEMBERS,
+        services.KNOWLEDGE,
+        services.QUARANTINE,
+      ])
       .add(services.STEERING_LISTENER, steering, [services.MEMBERS])
       .add(services.ENTRY, entryTask, [
         services.SHARES,
--- a/src/services/dispatch/DispatchTask.ts
+++ b/src/services/dispatch/DispatchTask.ts
@@ -5,6 +5,7 @@
 import * as base from '../base/index.js';
 import * as knowledgeService from '../knowledge/KnowledgeMessage.js';
 import * as membersService from '../members/MembersMessage.js';
+import * as quarantineService from '../quarantine/QuarantineMessage.js';
 import type * as messages from './DispatchMessage.js';
 import * as steps from './decideStep.js';
 import * as balancers from './RegionBalancer.js';
@@ -259,6 +260,14 @@
       const remainingMs =
         dispatch.deadlineMs - RETURN_RESERVE_MS - this.nowMs();
       if (remainingMs < MIN_REMAINING_MS) break;
+      const admission = await this.admitAttempt(dispatch);
+      if (admission.kind === 'quarantined') {
+        failure = steps.getWorseFailure(
+          failure,
+          steps.getQuarantineFailure(admission.crashCount),
+        );
+        break;
+      }
       if (attemptCount > 0 && !this.tryConsumeRetry(serviceId)) break;
       const placement = this.placeRequest(
         dispatch,
@@ -273,6 +282,7 @@
         break;
       }
       triedUpstreamIds.push(placement.upstreamId);
+      const record = this.registry.get(placement.upstreamId)?.state.record;
       const result = await this.send(
         dispatch,
         placement.upstreamId,
@@ -285,9 +295,11 @@
         placement.upstreamId,
         result,
       );
+      const recorded = this.recordRun(dispatch, record, admission.mark, result);
       if (step.kind === 'answered' || step.kind === 'abandoned') return step;
       failure = steps.getWorseFailure(failure, step.failure);
       if (step.kind === 'finish') break;
+      await recorded;
       this.logRetry(dispatch, placement.upstreamId, result.kind);
     }
     return this.getOutcome(
@@ -296,6 +308,55 @@
     );
   }
 
+  private async admitAttempt(
+    dispatch: messages.EntryDispatch,
+  ): Promise<quarantineService.AttemptAdmission> {
+    return await this.getService(
+      quarantineService.QUARANTINE,
+    ).ask<quarantineService.AttemptAdmission>(reply => ({
+      kind: 'admitAttempt',
+      repeatable: getRepeatable(dispatch),
+      reply,
+    }));
+  }
+
+  /** Records whether an upstream survived an attempt. Resolves once the request may be sent again. */
+  private async recordRun(
+    dispatch: messages.EntryDispatch,
+    upstream: entry.UpstreamRecord | undefined,
+    mark: decisions.AttemptMark,
+    result: connections.SendResult,
+  ): Promise<void> {
+    const quarantine = this.getService(quarantineService.QUARANTINE);
+    const repeatable = getRepeatable(dispatch);
+    switch (result.kind) {
+      case 'answered':
+        quarantine.post({kind: 'recordAnswer', repeatable});
+        return;
+      case 'broken': {
+        if (upstream === undefined) return;
+        await quarantine.ask<void>(reply => ({
+          kind: 'recordBreak',
+          repeatable,
+          mark,
+          upstream,
+          reply,
+        }));
+        return;
+      }
+      case 'shed':
+      case 'misdirected':
+      case 'notSent':
+      case 'withheld':
+      case 'garbled':
+      case 'timedOut':
+      case 'abandoned':
+        return;
+      default:
+        errors.throwUnreachable(result);
+    }
+  }
+
   private getRankQuery(
     dispatch: messages.EntryDispatch,
     serviceId: string,
@@ -543,6 +604,13 @@
   }
 }
 
+function getRepeatable({
+  request,
+  organisation,
+}: messages.EntryDispatch): quarantineService.RepeatableRequest {
+  return {request, organisationId: organisation?.organisationId ?? ''};
+}
+
 /** Gets a name that is unique to the object across all routes; empty for a request without an object. */
 function getObjectName({request, route}: messages.EntryDispatch): string {
   return request.objectKey === ''
--- a/src/services/dispatch/decideStep.ts
+++ b/src/services/dispatch/decideStep.ts
@@ -32,6 +32,15 @@
   message: 'no time is left to run the request',
 };
 
+/** Gets the failure of a request that crashed `crashCount` upstreams in a row and is not sent again. */
+export function getQuarantineFailure(crashCount: number): Failure {
+  return {
+    kind: 'mayHaveRun',
+    error: 'upstreamFailed',
+    message: `quarantined: ${crashCount} upstreams in a row crashed while they had the request`,
+  };
+}
+
 /** Decides whether to retry with another upstream after sending the request to `upstreamId` ended with `result`. */
 export function decideStep(
   execution: configurations.RouteExecution,
--- a/src/services/index.ts
+++ b/src/services/index.ts
@@ -13,6 +13,7 @@
 export * from './operators/index.js';
 export * from './peers/index.js';
 export * from './platform/index.js';
+export * from './quarantine/index.js';
 export * from './shares/index.js';
 export * from './store/index.js';
 export * from './upstreams/index.js';
--- a/src/services/members/MembersMessage.ts
+++ b/src/services/members/MembersMessage.ts
@@ -1,5 +1,6 @@
 import * as kernel from '../../kernel/index.js';
 import type * as entry from '../../model/entry/index.js';
+import type * as peers from '../../model/peers/index.js';
 import type * as store from '../store/index.js';
 import type * as knowledgeService from '../knowledge/KnowledgeMessage.js';
 
@@ -32,6 +33,12 @@
   readonly start: entry.UpstreamStart;
 }
 
+/** Another VM reported requests that may crash upstreams. */
+export interface SuspectsAnnounced {
+  readonly kind: 'suspectsAnnounced';
+  readonly suspects: readonly peers.SuspectReport[];
+}
+
 /** The messages that the members service receives. */
 export type MembersMessage =
   | {
@@ -42,6 +49,15 @@
       readonly kind: 'subscribeLeavingUpstreams';
       readonly subscriber: kernel.Address<UpstreamLeaving>;
     }
+  | {
+      readonly kind: 'subscribeSuspects';
+      readonly subscriber: kernel.Address<SuspectsAnnounced>;
+    }
+  /** Reports requests that may crash upstreams to all peers. */
+  | {
+      readonly kind: 'announceSuspects';
+      readonly suspects: readonly peers.SuspectReport[];
+    }
   /** Informs all peers that an upstream told this VM that it leaves. */
   | {
       readonly kind: 'announceLeavingUpstream';
--- a/src/services/members/MembersTask.ts
+++ b/src/services/members/MembersTask.ts
@@ -4,6 +4,7 @@
 import type * as kernel from '../../kernel/index.js';
 import type * as entry from '../../model/entry/index.js';
 import * as errors from '../../model/errors/index.js';
+import type * as peers from '../../model/peers/index.js';
 import * as base from '../base/index.js';
 import * as knowledgeService from '../knowledge/KnowledgeMessage.js';
 import * as store from '../store/index.js';
@@ -31,6 +32,9 @@
 const LEAVING_ANNOUNCEMENT_COUNT = 2;
 const LEAVING_ANNOUNCEMENT_INTERVAL_MS = 500;
 
+/** The largest number of suspect requests in one datagram, which keeps it within one packet. */
+const MAX_DATAGRAM_SUSPECTS = 12;
+
 /**
  * Owns the datagram socket on which VMs exchange their statuses, registers this VM in the store, and publishes to
  * subscribers which VMs are running.
@@ -41,6 +45,8 @@
   private readonly subscribers: kernel.Address<messages.MembersChanged>[] = [];
   private readonly leavingSubscribers: kernel.Address<messages.UpstreamLeaving>[] =
     [];
+  private readonly suspectSubscribers: kernel.Address<messages.SuspectsAnnounced>[] =
+    [];
   private readonly socket = dgram.createSocket('udp4');
   private members: decisions.MemberTable = new Map();
   private registry: decisions.MemberRegistry | undefined;
@@ -104,6 +110,12 @@
       case 'subscribeLeavingUpstreams':
         this.leavingSubscribers.push(message.subscriber);
         return;
+      case 'subscribeSuspects':
+        this.suspectSubscribers.push(message.subscriber);
+        return;
+      case 'announceSuspects':
+        this.announceSuspects(message.suspects);
+        return;
       case 'announceLeavingUpstream':
         this.announceLeaving(message.start, LEAVING_ANNOUNCEMENT_COUNT);
         return;
@@ -286,6 +298,14 @@
     );
   }
 
+  private announceSuspects(suspects: readonly peers.SuspectReport[]): void {
+    if (this.isStopped) return;
+    for (let from = 0; from < suspects.length; from += MAX_DATAGRAM_SUSPECTS) {
+      const part = suspects.slice(from, from + MAX_DATAGRAM_SUSPECTS);
+      this.sendToPeers(codecs.encodeSuspects(part));
+    }
+  }
+
   /** Sends a datagram to every peer that is registered in the store or has sent a status itself. */
   private sendToPeers(bytes: Uint8Array): void {
     const targets = new Set(
@@ -330,6 +350,13 @@
         for (const subscriber of this.leavingSubscribers)
           subscriber.post(datagram);
         return;
+      case 'suspects':
+        for (const subscriber of this.suspectSubscribers)
+          subscriber.post({
+            kind: 'suspectsAnnounced',
+            suspects: datagram.suspects,
+          });
+        return;
       default:
         errors.throwUnreachable(datagram);
     }
--- a/src/services/metrics/MetricsMessage.ts
+++ b/src/services/metrics/MetricsMessage.ts
@@ -10,6 +10,7 @@
   | 'requests_failed'
   | 'upstream_retries'
   | 'upstream_breaks'
+  | 'requests_quarantined'
   | 'steering_answers'
   | 'tokens_taken_remotely'
   | 'claims_made'
--- a/src/services/peers/PeerRpcServer.ts
+++ b/src/services/peers/PeerRpcServer.ts
@@ -13,7 +13,7 @@
   takeTokens: true,
   settleTokens: true,
   askClaim: true,
-  reportBreak: true,
+  exchangeSuspects: true,
   getSharedState: true,
   getKnowledge: true,
   borrowRequests: true,
--- a/src/services/peers/answerPeerRequest.ts
+++ b/src/services/peers/answerPeerRequest.ts
@@ -9,8 +9,8 @@
 import * as knowledgeService from '../knowledge/KnowledgeMessage.js';
 import * as limitsService from '../limits/LimitsMessage.js';
 import * as operationsService from '../operations/OperationsMessage.js';
+import * as quarantineService from '../quarantine/QuarantineMessage.js';
 import * as sharesService from '../shares/SharesMessage.js';
-import * as upstreamsService from '../upstreams/UpstreamsMessage.js';
 
 /** Forwards another daemon's request to the service that handles it, and returns that service's answer. */
 export async function answerPeerRequest(
@@ -31,10 +31,16 @@
       return await services
         .getOrThrow(operationsService.OPERATIONS)
         .ask(reply => ({kind: 'peerRequest', request, reply}));
-    case 'reportBreak':
-      return await services
-        .getOrThrow(upstreamsService.UPSTREAMS)
-        .ask(reply => ({kind: 'peerRequest', request, reply}));
+    case 'exchangeSuspects': {
+      const suspects = await services
+        .getOrThrow(quarantineService.QUARANTINE)
+        .ask<readonly peers.SuspectReport[]>(reply => ({
+          kind: 'exchangeSuspects',
+          suspects: request.suspects,
+          reply,
+        }));
+      return {kind: 'suspects', suspects};
+    }
     case 'getSharedState':
       return await getSharedState(services);
     case 'getKnowledge':
--- /dev/null
+++ b/src/services/quarantine/index.ts
@@ -0,0 +1,2 @@
+export * from './QuarantineMessage.js';
+export * from './QuarantineTask.js';
--- a/src/services/upstreams/UpstreamsMessage.ts
+++ b/src/services/upstreams/UpstreamsMessage.ts
@@ -1,6 +1,5 @@
 import * as kernel from '../../kernel/index.js';
 import type * as errors from '../../model/errors/index.js';
-import type * as peers from '../../model/peers/index.js';
 import type * as requests from '../../model/requests/index.js';
 import type * as configurationService from '../configuration/index.js';
 import type * as fleetService from '../fleet/index.js';
@@ -46,11 +45,6 @@
       readonly dispatch: DispatchRequest;
       readonly reply: kernel.Reply<DispatchResult>;
     }
-  | {
-      readonly kind: 'peerRequest';
-      readonly request: Extract<peers.PeerRequest, {kind: 'reportBreak'}>;
-      readonly reply: kernel.Reply<peers.PeerAnswer>;
-    }
   | {readonly kind: 'tick'};
 
 /** The upstreams service. */
--- a/src/services/upstreams/UpstreamsTask.ts
+++ b/src/services/upstreams/UpstreamsTask.ts
@@ -1,21 +1,18 @@
 import * as pureRand from 'pure-rand';
 import * as zod from 'zod';
-import * as codecs from '../../codecs/index.js';
 import * as decisions from '../../decisions/index.js';
 import * as errors from '../../model/errors/index.js';
-import type * as peers from '../../model/peers/index.js';
 import * as base from '../base/index.js';
 import * as configurationService from '../configuration/ConfigurationMessage.js';
 import * as fleetService from '../fleet/FleetMessage.js';
 import type * as fleetViews from '../fleet/FleetView.js';
-import * as peersService from '../peers/PeersMessage.js';
+import * as quarantineService from '../quarantine/QuarantineMessage.js';
 import type * as clients from './UpstreamClient.js';
 import * as tables from './UpstreamTable.js';
 import type * as messages from './UpstreamsMessage.js';
 
 const PROBE_INTERVAL_MS = 1000;
 const PROBE_TIMEOUT_MS = 800;
-const BREAK_REPORT_TIMEOUT_MS = 300;
 const MAX_ATTEMPTS = 3;
 const HTTP_OK = 200;
 const RANDOM_RANGE = 2 ** 32;
@@ -31,7 +28,6 @@
   private readonly random: pureRand.RandomGenerator;
   private fleetView: fleetViews.FleetView | undefined;
   private retryBudget = decisions.FULL_RETRY_BUDGET;
-  private quarantine = decisions.EMPTY_QUARANTINE;
 
   /**
    * @param location The location of this process.
@@ -74,10 +70,6 @@
       case 'dispatch':
         void this.dispatchRequest(message.dispatch).then(message.reply);
         return;
-      case 'peerRequest':
-        this.recordBrokenConnection(message.request);
-        message.reply({kind: 'done'});
-        return;
       case 'tick':
         this.probeAll();
         return;
@@ -93,13 +85,21 @@
     const triedUpstreamIds: string[] = [];
     let failure: messages.DispatchResult | undefined;
     for (let attemptCount = 0; attemptCount < MAX_ATTEMPTS; attemptCount += 1) {
-      if (this.isQuarantined(dispatch)) return getQuarantineResult();
+      const admission = await this.admitAttempt(dispatch);
+      if (admission.kind === 'quarantined')
+        return getQuarantineResult(admission.crashCount);
       if (attemptCount > 0 && !this.tryConsumeRetry()) break;
       const choice = this.chooseUpstream(dispatch.serviceId, triedUpstreamIds);
       if (choice.kind !== 'chosen') return failure ?? getNoChoiceResult(choice);
       triedUpstreamIds.push(choice.upstreamId);
+      const upstream = this.table.get(choice.upstreamId)?.upstream;
       const result = await this.send(dispatch, choice.upstreamId);
-      const step = await this.decideStep(dispatch, choice.upstreamId, result);
+      const step = this.decideStep(dispatch, choice.upstreamId, result);
+      if (result.kind === 'broken' && upstream !== undefined)
+        await this.recordBreak(dispatch, admission.mark, {
+          ...upstream,
+          upstreamId: choice.upstreamId,
+        });
       if (step.kind === 'done') return step.result;
       failure = getWorseFailure(failure, step.failure);
     }
@@ -145,15 +145,18 @@
   }
 
   /** Records how an attempt ended and decides whether to retry. */
-  private async decideStep(
+  private decideStep(
     dispatch: messages.DispatchRequest,
     upstreamId: string,
     result: clients.SendResult,
-  ): Promise<Step> {
+  ): Step {
     switch (result.kind) {
       case 'answered':
         this.table.addSuccess(upstreamId, this.nowMs());
-        this.clearSuspicion(dispatch);
+        this.getService(quarantineService.QUARANTINE).post({
+          kind: 'recordAnswer',
+          repeatable: dispatch,
+        });
         return {kind: 'done', result};
       case 'shed':
         this.table.addShed(upstreamId, this.nowMs());
@@ -163,7 +166,6 @@
         return retry('notRun', 'noUpstream', 'no upstream could be reached');
       case 'broken':
         this.avoid(upstreamId, result.kind);
-        await this.reportBreak(dispatch, upstreamId);
         return getBrokenStep(dispatch);
       case 'timedOut':
         return finish('deadlineExceeded', 'no answer came in time');
@@ -186,67 +188,31 @@
     return true;
   }
 
-  private isQuarantined(dispatch: messages.DispatchRequest): boolean {
-    if (this.quarantine.size === 0) return false;
-    const digest = getDigestHex(dispatch);
-    const nowMs = this.getContext().clock.wallMs();
-    return decisions.isQuarantined(this.quarantine, digest, nowMs);
-  }
-
-  private clearSuspicion(dispatch: messages.DispatchRequest): void {
-    if (this.quarantine.size === 0) return;
-    this.quarantine = decisions.clearSuspectRequest(
-      this.quarantine,
-      getDigestHex(dispatch),
-    );
-  }
-
-  private recordBrokenConnection(
-    report: Extract<peers.PeerRequest, {kind: 'reportBreak'}>,
-  ): void {
-    this.quarantine = decisions.recordBrokenConnection(
-      this.quarantine,
-      report.requestDigestHex,
-      report.upstreamId,
-      this.getContext().clock.wallMs(),
-    );
+  private async admitAttempt(
+    dispatch: messages.DispatchRequest,
+  ): Promise<quarantineService.AttemptAdmission> {
+    return await this.getService(
+      quarantineService.QUARANTINE,
+    ).ask<quarantineService.AttemptAdmission>(reply => ({
+      kind: 'admitAttempt',
+      repeatable: dispatch,
+      reply,
+    }));
   }
 
-  /** Reports a request that broke an upstream to all serving VMs, before the request can be retried. */
-  private async reportBreak(
+  /** Records that a request was running while a connection broke, before the request can be retried. */
+  private async recordBreak(
     dispatch: messages.DispatchRequest,
-    upstreamId: string,
+    mark: decisions.AttemptMark,
+    upstream: quarantineService.BrokenUpstream,
   ): Promise<void> {
-    const requestDigestHex = getDigestHex(dispatch);
-    const request = {
-      kind: 'reportBreak',
-      requestDigestHex,
-      upstreamId,
-    } as const;
-    this.recordBrokenConnection(request);
-    this.count('upstream_breaks');
-    this.log('warn', 'requestSuspected', {
-      upstream: upstreamId,
-      digest: requestDigestHex,
-    });
-    const peersAddresses = (this.fleetView?.servingVms ?? [])
-      .filter(vm => vm.processId !== this.fleetView?.self.processId)
-      .map(vm => vm.peersAddress);
-    const {services} = this.getContext();
-    const deadlineMs = this.nowMs() + BREAK_REPORT_TIMEOUT_MS;
-    await Promise.all(
-      peersAddresses.map(peersAddress =>
-        services
-          .getOrThrow(peersService.PEERS)
-          .ask<peersService.CallResult>(reply => ({
-            kind: 'call',
-            peersAddress,
-            request,
-            deadlineMs,
-            reply,
-          })),
-      ),
-    );
+    await this.getService(quarantineService.QUARANTINE).ask<void>(reply => ({
+      kind: 'recordBreak',
+      repeatable: dispatch,
+      mark,
+      upstream,
+      reply,
+    }));
   }
 
   private probeAll(): void {
@@ -357,18 +323,14 @@
   }
 }
 
-function getQuarantineResult(): messages.DispatchResult {
+function getQuarantineResult(crashCount: number): messages.DispatchResult {
   return {
     kind: 'mayHaveRun',
     error: 'requestQuarantined',
-    message: 'the request broke two upstreams and is not sent again',
+    message: `${crashCount} upstreams in a row crashed while they had the request`,
   };
 }
 
-function getDigestHex(dispatch: messages.DispatchRequest): string {
-  return codecs.getRequestDigestHex(dispatch.request, dispatch.organisationId);
-}
-
 function createProbe(deadlineMs: number): clients.OutboundRequest {
   return {
     request: {
--- a/standins/store/FakeUpstream.ts
+++ b/standins/store/FakeUpstream.ts
@@ -79,12 +79,19 @@
   /** The values of the retry-after header in responses of the mode `shed`; one header line each. */
   retryAfterValues: readonly string[] = [];
 
+  /** The upstream crashes when it begins to run a request whose target starts with this; empty for none. */
+  crashingTarget = '';
+
+  /** Called after the upstream has crashed. */
+  onCrash: () => void = () => {};
+
   /** The number of requests received, run or not. */
   arrivalCount = 0;
 
   private readonly server = http.createServer((request, response) => {
     void this.handleRequest(request, response);
   });
+  private readonly sockets = new Set<net.Socket>();
   private readonly activeRequestIds = new Set<string>();
   private readonly endedAtMsById = new Map<string, number>();
   private endlessByteCount = 0;
@@ -97,6 +104,10 @@
 
   /** Starts listening on a free port; returns the address as host:port. */
   async open(): Promise<string> {
+    this.server.on('connection', socket => {
+      this.sockets.add(socket);
+      socket.once('close', () => this.sockets.delete(socket));
+    });
     await new Promise<void>(resolve =>
       this.server.listen(0, '127.0.0.1', resolve),
     );
@@ -110,6 +121,13 @@
     this.server.closeAllConnections();
   }
 
+  /** Stops listening and resets all connections. */
+  crash(): void {
+    this.server.close();
+    for (const socket of this.sockets) sockets.resetSocket(socket);
+    this.onCrash();
+  }
+
   /** Gets the identifiers of the requests that are running. */
   getActiveRequestIds(): readonly string[] {
     return [...this.activeRequestIds];
@@ -182,6 +200,11 @@
       body: Buffer.concat(chunks).toString('utf8'),
       atMs: Date.now(),
     });
+    const {crashingTarget} = this;
+    if (crashingTarget !== '' && request.url?.startsWith(crashingTarget)) {
+      this.crash();
+      return;
+    }
     this.activeRequestIds.add(requestId);
     const isDone = await this.waitForServiceTime(
       response,
