Keep what is known of upstreams that leave

What callers see: requests on their way to an upstream that said it leaves.

Causes, by reading and shown by tests; whether they are what the users saw is not shown: - an earlier write of the upstream's row that the store applies after its 'draining' made it ready again, as the order of a start's writes was not read; so did a write applied after the row's removal; - a peer keeps the last row of an upstream over an outage of the store, since the row may have expired; other VMs took it for news, also those that knew of the drain; - a row that another writer spoilt counted as expired in the grace period after an outage, and its last readable version was used.

Change: records carry the revision that orders the writes of one start, and the later one is kept. A row that comes back after a removal in calm counts once it has been renewed, within a minute. Peers say which records they only kept, and those say nothing to a VM that has read the table.

--- a/src/codecs/members/tableSnapshotSchemas.ts
+++ b/src/codecs/members/tableSnapshotSchemas.ts
@@ -79,8 +79,10 @@
         failureDomain: zod.string(),
         slotCount: zod.number(),
         state: zod.enum(['ready', 'draining']),
+        revision: zod.number().default(0),
         coldForMs: zod.number(),
         startedAtMs: zod.number(),
       }),
     ),
+    expiredIds: zod.array(zod.string()).default([]),
   });
--- a/src/decisions/discovery/index.ts
+++ b/src/decisions/discovery/index.ts
@@ -3,3 +3,4 @@
 export * from './chooseNewerRows.js';
 export * from './TableReadMode.js';
 export * from './StoreReachability.js';
+export * from './chooseLaterRecord.js';
--- a/src/decisions/discovery/mergeUpstreams.ts
+++ b/src/decisions/discovery/mergeUpstreams.ts
@@ -1,20 +1,37 @@
 import type * as entry from '../../model/entry/index.js';
+import * as orders from './chooseLaterRecord.js';
 
 /** The upstreams that a process uses, by upstream identifier. */
 export type UpstreamsById = ReadonlyMap<string, entry.UpstreamRecord>;
 
+/** An upstream that has left: its record was removed while the table was available. */
+export interface DepartedUpstream {
+  /** The last record before the removal, or the first one after it. */
+  readonly record: entry.UpstreamRecord;
+
+  /** Whether the record has come back. */
+  readonly hasReturned: boolean;
+
+  /** Monotonic time in milliseconds until which a record that comes back has to be renewed before it counts. */
+  readonly expiresAtMs: number;
+}
+
 /** The upstreams known from all reads of the upstream table so far. */
 export interface DiscoveryState {
   readonly upstreams: UpstreamsById;
 
   /** The identifiers of known upstreams whose records have been missing since an outage of the table ended. */
   readonly expiredIds: ReadonlySet<string>;
+
+  /** The upstreams that have left lately, by upstream identifier. */
+  readonly departed: ReadonlyMap<string, DepartedUpstream>;
 }
 
 /** The state before the first read. */
 export const INITIAL_DISCOVERY: DiscoveryState = {
   upstreams: new Map(),
   expiredIds: new Set(),
+  departed: new Map(),
 };
 
 /**
@@ -23,10 +40,16 @@
  */
 export const RENEWAL_GRACE_MS = 2100;
 
+/** How long in milliseconds after its removal a record may come back by a write that the table applied late. */
+const LATE_WRITE_MS = 60_000;
+
 /** The result of one read of all upstream records. */
 export interface UpstreamTableRead {
   readonly records: readonly entry.UpstreamRecord[];
 
+  /** The identifiers of rows that could not be decoded; they name no upstream to use. */
+  readonly unreadableIds: readonly string[];
+
   /** Whether this is the first read after an outage of the table. */
   readonly isFirstAfterOutage: boolean;
 
@@ -44,36 +67,86 @@
   tableRead: UpstreamTableRead,
   nowMs: number,
 ): DiscoveryState {
-  const {records, isFirstAfterOutage, outageEndedAtMs} = tableRead;
-  const upstreams = new Map<string, entry.UpstreamRecord>();
+  const {records, unreadableIds, isFirstAfterOutage, outageEndedAtMs} =
+    tableRead;
   const expiredIds = new Set<string>();
   const readIds = new Set(records.map(record => record.upstreamId));
+  for (const upstreamId of unreadableIds) readIds.add(upstreamId);
   const isWithinGrace =
     outageEndedAtMs !== undefined && nowMs < outageEndedAtMs + RENEWAL_GRACE_MS;
   if (isWithinGrace)
-    for (const [upstreamId, record] of current.upstreams) {
+    for (const upstreamId of current.upstreams.keys()) {
       if (readIds.has(upstreamId)) continue;
-      if (!isFirstAfterOutage && !current.expiredIds.has(upstreamId)) continue;
-      upstreams.set(upstreamId, record);
-      expiredIds.add(upstreamId);
+      if (isFirstAfterOutage || current.expiredIds.has(upstreamId))
+        expiredIds.add(upstreamId);
     }
-  for (const record of records) upstreams.set(record.upstreamId, record);
-  return {upstreams, expiredIds};
+  return applyRecords(current, records, expiredIds, nowMs);
 }
 
 /**
- * Replaces the known upstreams with a peer's merged records. The peer has kept the records that may have expired
- * during an outage, so an upstream that is not among them has left.
+ * Merges a peer's newer upstreams into the known ones. Records that a peer kept over an outage say nothing new: the
+ * upstream may have left during the outage.
  */
-export function replaceUpstreams(
+export function mergePeerUpstreams(
   current: DiscoveryState,
-  records: readonly entry.UpstreamRecord[],
+  peerRows: entry.UpstreamRows,
+  nowMs: number,
 ): DiscoveryState {
-  const upstreams = new Map(
-    records.map(record => [record.upstreamId, record] as const),
+  const peerExpiredIds = new Set(peerRows.expiredIds);
+  const hasRead = current.upstreams.size > 0 || current.departed.size > 0;
+  const records = peerRows.upstreams.filter(
+    ({upstreamId}) => !hasRead || !peerExpiredIds.has(upstreamId),
   );
   const expiredIds = new Set(
-    [...current.expiredIds].filter(upstreamId => upstreams.has(upstreamId)),
+    [...peerExpiredIds].filter(upstreamId => current.upstreams.has(upstreamId)),
   );
-  return {upstreams, expiredIds};
+  return applyRecords(current, records, expiredIds, nowMs);
+}
+
+/** Applies the records of a table, in which those of `keptIds` are missing although their upstreams may be running. */
+function applyRecords(
+  current: DiscoveryState,
+  records: readonly entry.UpstreamRecord[],
+  keptIds: ReadonlySet<string>,
+  nowMs: number,
+): DiscoveryState {
+  const upstreams = new Map<string, entry.UpstreamRecord>();
+  const departed = new Map(
+    [...current.departed].filter(([, {expiresAtMs}]) => expiresAtMs > nowMs),
+  );
+  const listedIds = new Set(keptIds);
+  for (const record of records) {
+    const {upstreamId} = record;
+    listedIds.add(upstreamId);
+    const known = current.upstreams.get(upstreamId);
+    const former = departed.get(upstreamId);
+    if (former !== undefined && !isRenewed(former, record)) {
+      departed.set(upstreamId, {...former, record, hasReturned: true});
+      continue;
+    }
+    departed.delete(upstreamId);
+    upstreams.set(
+      upstreamId,
+      known === undefined ? record : orders.chooseLaterRecord(known, record),
+    );
+  }
+  for (const [upstreamId, record] of current.upstreams) {
+    if (keptIds.has(upstreamId)) upstreams.set(upstreamId, record);
+    else if (!listedIds.has(upstreamId) && !current.expiredIds.has(upstreamId))
+      departed.set(upstreamId, {
+        record,
+        hasReturned: false,
+        expiresAtMs: nowMs + LATE_WRITE_MS,
+      });
+  }
+  return {upstreams, expiredIds: keptIds, departed};
+}
+
+/** Whether a record that came back after its removal is of another start, or has been renewed since it came back. */
+function isRenewed(
+  former: DepartedUpstream,
+  record: entry.UpstreamRecord,
+): boolean {
+  if (!orders.areOrdered(former.record, record)) return true;
+  return former.hasReturned && record.revision > former.record.revision;
 }
--- a/src/model/entry/TableSnapshot.ts
+++ b/src/model/entry/TableSnapshot.ts
@@ -14,4 +14,7 @@
 export interface UpstreamRows {
   readonly tableVersion: number;
   readonly upstreams: readonly upstreams.UpstreamRecord[];
+
+  /** The identifiers of those upstreams whose rows have been missing since an outage of the table. */
+  readonly expiredIds: readonly string[];
 }
--- a/src/model/entry/UpstreamRecord.ts
+++ b/src/model/entry/UpstreamRecord.ts
@@ -11,6 +11,9 @@
   readonly slotCount: number;
   readonly state: UpstreamState;
 
+  /** Increases with each write of the row by this start of the upstream; 0 when it is unknown. */
+  readonly revision: number;
+
   /** How long in milliseconds the upstream still counts as cold, from the time at which the row was written. */
   readonly coldForMs: number;
 }
--- a/src/services/knowledge/KnowledgeTask.ts
+++ b/src/services/knowledge/KnowledgeTask.ts
@@ -318,11 +318,7 @@
       case 'snapshot':
         for (const {key, reason} of result.unreadableRows)
           this.logUnreadable(key, reason);
-        this.applyUpstreamRecords(
-          result.upstreams,
-          result.tableVersion,
-          sentAtMs,
-        );
+        this.applyUpstreamSnapshot(result, sentAtMs);
         this.postAfter(this.getUpstreamPollDelayMs(), {
           kind: 'pollUpstreamRows',
         });
@@ -356,9 +352,12 @@
     return this.bounds.maxDrainDelayMs * UPSTREAM_POLL_FRACTION;
   }
 
-  private applyUpstreamRecords(
-    upstreams: readonly entry.UpstreamRecord[],
-    tableVersion: number,
+  private applyUpstreamSnapshot(
+    {
+      upstreams,
+      unreadableRows,
+      tableVersion,
+    }: Extract<store.UpstreamReadResult, {kind: 'snapshot'}>,
     readAtMs: number,
   ): void {
     if (tableVersion < this.upstreamTableVersion) return;
@@ -378,6 +377,7 @@
       this.discovery,
       {
         records: upstreams,
+        unreadableIds: unreadableRows.map(({key}) => key),
         isFirstAfterOutage,
         outageEndedAtMs: outageEndedAtMs,
       },
@@ -386,15 +386,16 @@
     this.publishUpstreams();
   }
 
-  /**
-   * Replaces the upstreams with a peer's. The peer has already retained upstreams whose rows expired during an outage
-   * of the store, so an upstream that its rows lack has left.
-   */
+  /** Applies a peer's newer upstreams. */
   private applyPeerUpstreamRows(rows: entry.UpstreamRows): void {
     if (rows.tableVersion <= this.upstreamTableVersion) return;
     this.upstreamTableVersion = rows.tableVersion;
     this.upstreamRowsReadAtMs = this.nowMs();
-    this.discovery = decisions.replaceUpstreams(this.discovery, rows.upstreams);
+    this.discovery = decisions.mergePeerUpstreams(
+      this.discovery,
+      rows,
+      this.nowMs(),
+    );
     this.publishUpstreams();
   }
 
@@ -415,6 +416,7 @@
     return {
       tableVersion: this.upstreamTableVersion,
       upstreams: [...this.discovery.upstreams.values()],
+      expiredIds: [...this.discovery.expiredIds],
     };
   }
 
--- a/test/decisions/discovery/discovery.test.ts
+++ b/test/decisions/discovery/discovery.test.ts
@@ -26,6 +26,7 @@
       state,
       {
         records: ids.map(id => records.getUpstreamRecord(id)),
+        unreadableIds: [],
         isFirstAfterOutage: nowMs === outageEndedAtMs,
         outageEndedAtMs: outageEndedAtMs,
       },
@@ -113,6 +114,130 @@
   );
 });
 
+void test.describe('the records of an upstream that leaves', () => {
+  const read = (
+    state: decisions.DiscoveryState,
+    readRecords: readonly entry.UpstreamRecord[],
+    nowMs: number,
+    tableRead: Partial<decisions.UpstreamTableRead> = {},
+  ) =>
+    decisions.mergeUpstreams(
+      state,
+      {
+        records: readRecords,
+        unreadableIds: [],
+        isFirstAfterOutage: false,
+        outageEndedAtMs: undefined,
+        ...tableRead,
+      },
+      nowMs,
+    );
+  const mergePeer = (
+    state: decisions.DiscoveryState,
+    upstreams: readonly entry.UpstreamRecord[],
+    expiredIds: readonly string[],
+  ) =>
+    decisions.mergePeerUpstreams(
+      state,
+      {tableVersion: 9, upstreams, expiredIds},
+      100,
+    );
+  const getRecord = (
+    state: 'ready' | 'draining',
+    revision: number,
+    startedAtMs = 1,
+  ) => records.getUpstreamRecord('a', {state, revision, startedAtMs});
+  const getStates = (state: decisions.DiscoveryState) =>
+    [...state.upstreams.values()].map(record => record.state);
+  const draining = read(
+    decisions.INITIAL_DISCOVERY,
+    [getRecord('draining', 5)],
+    0,
+  );
+  const gone = read(draining, [], 50);
+
+  // Guards against a peer that missed the drain during an outage and kept its last record of the upstream.
+  for (const startedAtMs of [0, 1])
+    void test.it(
+      `are not undone by what a peer kept over an outage, start at ${startedAtMs}`,
+      () => {
+        const known = read(
+          decisions.INITIAL_DISCOVERY,
+          [
+            getRecord('draining', 5, startedAtMs),
+            records.getUpstreamRecord('b'),
+          ],
+          0,
+        );
+        const removed = read(known, [records.getUpstreamRecord('b')], 50);
+        const peerRecords = [
+          getRecord('ready', 4, startedAtMs),
+          records.getUpstreamRecord('b'),
+        ];
+        earl
+          .expect(getStates(mergePeer(known, peerRecords, ['a'])).sort())
+          .toEqual(['draining', 'ready']);
+        earl
+          .expect(getStates(mergePeer(removed, peerRecords, ['a'])))
+          .toEqual(['ready']);
+      },
+    );
+
+  void test.it(
+    'are taken from a peer that kept them by a VM that starts',
+    () => {
+      const ready = [getRecord('ready', 4)];
+      const started = mergePeer(decisions.INITIAL_DISCOVERY, ready, ['a']);
+      earl.expect(getStates(started)).toEqual(['ready']);
+    },
+  );
+
+  void test.it(
+    'are not undone by an earlier write that is applied late',
+    () => {
+      const late = read(draining, [getRecord('ready', 4)], 10);
+      earl.expect(getStates(late)).toEqual(['draining']);
+      const restarted = read(draining, [getRecord('ready', 1, 2)], 10);
+      earl.expect(getStates(restarted)).toEqual(['ready']);
+    },
+  );
+
+  void test.it('do not come back by one late write after their removal', () => {
+    const returned = read(gone, [getRecord('ready', 6)], 60);
+    const unchanged = read(returned, [getRecord('ready', 6)], 1500);
+    earl.expect(getStates(returned)).toEqual([]);
+    earl.expect(getStates(unchanged)).toEqual([]);
+    const renewed = read(unchanged, [getRecord('ready', 7)], 3000);
+    earl.expect(getStates(renewed)).toEqual(['ready']);
+    const restarted = read(gone, [getRecord('ready', 1, 2)], 60);
+    earl.expect(getStates(restarted)).toEqual(['ready']);
+  });
+
+  // Guards against taking a row that another writer spoilt for one that expired.
+  void test.it('are not kept over an outage when they can not be read', () => {
+    const ready = read(decisions.INITIAL_DISCOVERY, [getRecord('ready', 1)], 0);
+    const outage = {isFirstAfterOutage: true, outageEndedAtMs: 5000};
+    earl.expect(getStates(read(ready, [], 5000, outage))).toEqual(['ready']);
+    earl
+      .expect(
+        getStates(read(ready, [], 5000, {...outage, unreadableIds: ['a']})),
+      )
+      .toEqual([]);
+  });
+
+  void test.it('count at once when they come back after an outage', () => {
+    const ready = read(decisions.INITIAL_DISCOVERY, [getRecord('ready', 1)], 0);
+    const kept = read(ready, [], 5000, {
+      isFirstAfterOutage: true,
+      outageEndedAtMs: 5000,
+    });
+    const dropped = read(kept, [], 7200, {outageEndedAtMs: 5000});
+    earl.expect(getStates(dropped)).toEqual([]);
+    const returned = read(dropped, [getRecord('ready', 2)], 7500);
+    earl.expect(getStates(returned)).toEqual(['ready']);
+  });
+});
+
 const HEARTBEAT_MS = 1500;
 
 void test.describe('StoreReach', () => {
--- a/test/platform/rows.test.ts
+++ b/test/platform/rows.test.ts
@@ -77,6 +77,7 @@
       failureDomain: 'amman-jabal',
       slotCount: 9,
       state: 'ready',
+      revision: 4,
       coldForMs: 1500,
       startedAtMs: 1700000000000,
     });
--- a/test/support/records/getUpstreamRecord.ts
+++ b/test/support/records/getUpstreamRecord.ts
@@ -14,6 +14,7 @@
     failureDomain: 'amman-a',
     slotCount: 3,
     state: 'ready',
+    revision: 1,
     coldForMs: 0,
     startedAtMs: 1,
     ...overrides,
