Log the source of upstreams' rows, and rows that are read late

Whether requests to leaving upstreams come from rows of a peer, from a late read or from late writes could not be told from the logs: upstreamAdded, upstreamChanged and upstreamRemoved now have the row's revision and source, and a read that replaces rows older than 0.8 of the bound is logged.

--- a/src/services/dispatch/DispatchTask.ts
+++ b/src/services/dispatch/DispatchTask.ts
@@ -91,7 +91,7 @@
         this.setOperatorRows(message.rows);
         return;
       case 'upstreamRowsChanged':
-        this.setUpstreams(message.upstreams, message.readAtMs);
+        this.setUpstreams(message);
         return;
       case 'membersChanged':
         this.membersView = message;
@@ -134,12 +134,13 @@
         this.setCold(state.record, this.getColdMs(state.record.serviceId));
   }
 
-  private setUpstreams(
-    upstreams: readonly entry.UpstreamRecord[],
-    readAtMs: number,
-  ): void {
+  private setUpstreams({
+    upstreams,
+    readAtMs,
+    source,
+  }: knowledgeService.UpstreamRowsChanged): void {
     const events = this.registry.setRecords(upstreams, this.nowMs());
-    for (const event of events) this.handleEvent(event);
+    for (const event of events) this.handleEvent(event, source);
     const sinceReadMs = this.nowMs() - readAtMs;
     for (const record of upstreams)
       if (record.coldForMs > sinceReadMs)
@@ -147,9 +148,18 @@
     this.hasUpstreams = true;
   }
 
-  private handleEvent(event: registries.RegistryEvent): void {
-    const {upstreamId, serviceId, state} = event.record;
-    const fields = {upstream: upstreamId, service: serviceId, state};
+  private handleEvent(
+    event: registries.RegistryEvent,
+    source: knowledgeService.RowSource,
+  ): void {
+    const {upstreamId, serviceId, state, revision} = event.record;
+    const fields = {
+      upstream: upstreamId,
+      service: serviceId,
+      state,
+      revision,
+      source,
+    };
     switch (event.kind) {
       case 'added':
         if (this.hasUpstreams) {
--- a/src/services/knowledge/KnowledgeMessage.ts
+++ b/src/services/knowledge/KnowledgeMessage.ts
@@ -3,6 +3,9 @@
 import type * as membersService from '../members/index.js';
 import type * as store from '../store/index.js';
 
+/** Where rows were read: in the platform's store, or at a peer. */
+export type RowSource = 'store' | 'peer';
+
 /** Sent to subscribers with the rows that operators wrote, after each successful read and each answer of a peer. */
 export interface OperatorRowsChanged {
   readonly kind: 'operatorRowsChanged';
@@ -20,6 +23,9 @@
 
   /** Monotonic time in milliseconds at which the read was sent, or at which a peer's answer was applied. */
   readonly readAtMs: number;
+
+  /** Who answered the read. */
+  readonly source: RowSource;
 }
 
 /** The messages that the knowledge service receives. */
--- a/src/services/knowledge/KnowledgeTask.ts
+++ b/src/services/knowledge/KnowledgeTask.ts
@@ -23,6 +23,9 @@
 /** The shortest time in milliseconds between the starts of two calls that read the operators' rows. */
 const MIN_FOLLOW_INTERVAL_MS = 250;
 
+/** The age of the upstreams' rows from which a read that replaces them is logged, as a fraction of `maxDrainDelayMs`. */
+const LATE_ROWS_FRACTION = 0.8;
+
 /** The delay in milliseconds before a failed read of the upstreams' rows is retried. */
 const UPSTREAM_RETRY_DELAY_MS = 250;
 
@@ -64,6 +67,7 @@
   private following: decisions.TableReadMode = {kind: 'snapshot'};
   private operatorRowsCurrentAtMs = -Infinity;
   private upstreamRowsReadAtMs = -Infinity;
+  private upstreamRowsSource: messages.RowSource = 'store';
   private storeAvailability = decisions.INITIAL_STORE_REACHABILITY;
   private outageEndedAtMs: number | undefined;
   private members: membersService.MembersChanged | undefined;
@@ -370,8 +374,7 @@
     const isFirstAfterOutage = outageEndMs !== undefined;
     if (isFirstAfterOutage) this.outageEndedAtMs = outageEndMs;
     this.storeAvailability = decisions.applyReadSuccess(readAtMs);
-    this.upstreamTableVersion = tableVersion;
-    this.upstreamRowsReadAtMs = readAtMs;
+    this.setUpstreamRowsRead(tableVersion, readAtMs, 'store');
     const {outageEndedAtMs} = this;
     this.discovery = decisions.mergeUpstreams(
       this.discovery,
@@ -389,8 +392,7 @@
   /** Applies a peer's newer upstreams. */
   private applyPeerUpstreamRows(rows: entry.UpstreamRows): void {
     if (rows.tableVersion <= this.upstreamTableVersion) return;
-    this.upstreamTableVersion = rows.tableVersion;
-    this.upstreamRowsReadAtMs = this.nowMs();
+    this.setUpstreamRowsRead(rows.tableVersion, this.nowMs(), 'peer');
     this.discovery = decisions.mergePeerUpstreams(
       this.discovery,
       rows,
@@ -399,6 +401,27 @@
     this.publishUpstreams();
   }
 
+  /** Records a read of the upstreams' rows, and logs when the rows before it had become old. */
+  private setUpstreamRowsRead(
+    tableVersion: number,
+    readAtMs: number,
+    source: messages.RowSource,
+  ): void {
+    const isFirst = this.upstreamTableVersion === 0;
+    const gapMs = this.nowMs() - this.upstreamRowsReadAtMs;
+    this.upstreamTableVersion = tableVersion;
+    this.upstreamRowsReadAtMs = readAtMs;
+    this.upstreamRowsSource = source;
+    if (isFirst) return;
+    this.observe('upstream_rows_gap_ms', gapMs);
+    if (gapMs > LATE_ROWS_FRACTION * this.bounds.maxDrainDelayMs)
+      this.log('warn', 'upstreamRowsLate', {
+        gapMs: Math.round(gapMs),
+        readMs: Math.round(this.nowMs() - readAtMs),
+        source,
+      });
+  }
+
   private publishUpstreams(): void {
     if (this.upstreamTableVersion === 0) return;
     const upstreams = [...this.discovery.upstreams.values()];
@@ -407,6 +430,7 @@
       tableVersion: this.upstreamTableVersion,
       upstreams,
       readAtMs: this.upstreamRowsReadAtMs,
+      source: this.upstreamRowsSource,
     };
     for (const subscriber of this.upstreamSubscribers) subscriber.post(message);
   }
--- a/src/services/logs/EventName.ts
+++ b/src/services/logs/EventName.ts
@@ -32,6 +32,7 @@
   | 'memberHeard'
   | 'settingsReloaded'
   | 'regionSharesMoved'
+  | 'upstreamRowsLate'
   | 'upstreamAdded'
   | 'upstreamChanged'
   | 'upstreamRemoved'
--- a/src/services/metrics/MetricsMessage.ts
+++ b/src/services/metrics/MetricsMessage.ts
@@ -42,7 +42,9 @@
   | 'loop_delay_ms'
   | 'accept_wait_ms'
   /** Age of the last successful read of the operators' rows at the time of the next one. */
-  | 'knowledge_gap_ms';
+  | 'knowledge_gap_ms'
+  /** Age of the last read of the upstreams' rows at the time of the next one. */
+  | 'upstream_rows_gap_ms';
 
 /** The messages that the metrics service accepts. */
 export type MetricsMessage =
