Tell VMs that start which upstreams leave

What callers see: a VM that has restarted sends a request to an upstream whose responses said that it leaves, as its row still says ready.

Cause: the mark was kept by the VMs that had heard it and announced once.

--- a/src/services/members/MembersTask.ts
+++ b/src/services/members/MembersTask.ts
@@ -8,6 +8,7 @@
 import * as base from '../base/index.js';
 import * as knowledgeService from '../knowledge/KnowledgeMessage.js';
 import * as store from '../store/index.js';
+import * as leavingStarts from './LeavingStarts.js';
 import type * as messages from './MembersMessage.js';
 
 /**
@@ -45,6 +46,7 @@
   private readonly subscribers: kernel.Address<messages.MembersChanged>[] = [];
   private readonly leavingSubscribers: kernel.Address<messages.UpstreamLeaving>[] =
     [];
+  private readonly leavingStarts = new leavingStarts.LeavingStarts();
   private readonly suspectSubscribers: kernel.Address<messages.SuspectsAnnounced>[] =
     [];
   private readonly socket = dgram.createSocket('udp4');
@@ -117,7 +119,10 @@
         this.announceSuspects(message.suspects);
         return;
       case 'announceLeavingUpstream':
-        this.announceLeaving(message.start, LEAVING_ANNOUNCEMENT_COUNT);
+        this.leavingStarts.add(message.start, this.nowMs());
+        this.announceLeaving(message.start, LEAVING_ANNOUNCEMENT_COUNT, () =>
+          this.getPeerAddresses(),
+        );
         return;
       case 'operatorRowsChanged':
         this.operatorRowsVersion = message.rows.tableVersion;
@@ -290,11 +295,12 @@
   private announceLeaving(
     start: entry.UpstreamStart,
     remainingCount: number,
+    getTargets: () => Iterable<string>,
   ): void {
     if (this.isStopped || remainingCount <= 0) return;
-    this.sendToPeers(codecs.encodeUpstreamLeaving(start));
+    this.sendTo(getTargets(), codecs.encodeUpstreamLeaving(start));
     this.getContext().timers.after(LEAVING_ANNOUNCEMENT_INTERVAL_MS, () =>
-      this.announceLeaving(start, remainingCount - 1),
+      this.announceLeaving(start, remainingCount - 1, getTargets),
     );
   }
 
@@ -306,14 +312,23 @@
     }
   }
 
-  /** Sends a datagram to every peer that is registered in the store or has sent a status itself. */
+  /** Sends a datagram to every peer. */
   private sendToPeers(bytes: Uint8Array): void {
+    this.sendTo(this.getPeerAddresses(), bytes);
+  }
+
+  /** Gets the address of every peer that is registered in the store or has sent a status itself. */
+  private getPeerAddresses(): ReadonlySet<string> {
     const targets = new Set(
       this.getRegisteredPeers().map(peer => peer.peersAddress),
     );
     for (const {status} of this.members.values())
       targets.add(status.member.peersAddress);
     targets.delete(this.self.peersAddress);
+    return targets;
+  }
+
+  private sendTo(targets: Iterable<string>, bytes: Uint8Array): void {
     for (const target of targets) {
       const {host, port} = codecs.parseSocketAddress(target);
       this.socket.send(bytes, port, host, thrown => {
@@ -347,6 +362,7 @@
         this.handleStatus(datagram.status);
         return;
       case 'upstreamLeaving':
+        this.leavingStarts.add(datagram.start, this.nowMs());
         for (const subscriber of this.leavingSubscribers)
           subscriber.post(datagram);
         return;
@@ -366,9 +382,9 @@
     const {vmId} = status.member;
     if (vmId === this.self.vmId) return;
     const previous = this.members.get(vmId);
-    const isNew =
-      previous?.status.member.processId !== status.member.processId ||
-      previous.status.isLeaving !== status.isLeaving;
+    const isStarted =
+      previous?.status.member.processId !== status.member.processId;
+    const isNew = isStarted || previous?.status.isLeaving !== status.isLeaving;
     this.members = decisions.setMemberStatus(
       this.members,
       status,
@@ -377,9 +393,18 @@
     if (!isNew) return;
     this.log('info', 'memberHeard', {peer: vmId, leaving: status.isLeaving});
     if (previous === undefined) this.sendStatus();
+    if (isStarted) this.informStarted(status.member);
     this.publish();
   }
 
+  /** Tells a process that has started which upstreams leave; their rows may not say so. */
+  private informStarted(member: entry.MemberRecord): void {
+    for (const start of this.leavingStarts.getAll(this.nowMs()))
+      this.announceLeaving(start, LEAVING_ANNOUNCEMENT_COUNT, () => [
+        member.peersAddress,
+      ]);
+  }
+
   private publish(): void {
     const nowMs = this.nowMs();
     const serving = decisions.getServingMembers(this.members, nowMs);
--- a/test/platform/upstreamNotices.test.ts
+++ b/test/platform/upstreamNotices.test.ts
@@ -77,6 +77,24 @@
     },
   );
 
+  // Guards against a VM that forgets at its restart what its peers know, while the row says ready.
+  void test.it('that it leaves is passed on to a VM that starts', async () => {
+    await withUpstreams({vmCount: 2, upstreamCount: 2}, async (fleet, all) => {
+      const [leaving] = all;
+      leaving.isLeaving = true;
+      await callForAll(fleet, 0);
+      await fleet.waitFor(() =>
+        hasLogged(fleet, 1, 'upstreamLeaving upstream=i-0 source=peer'),
+      );
+      await fleet.getProcess(0).kill();
+      fleet.restart(0);
+      await fleet.waitForReady(0);
+      await timers.setTimeout(1000);
+      earl.expect(await callForAll(fleet, 0)).toEqual([200]);
+      earl.expect(leaving.arrivalCount).toEqual(1);
+    });
+  });
+
   void test.it('that it leaves ends with that start of it', async () => {
     await withUpstreams({vmCount: 1, upstreamCount: 2}, async (fleet, all) => {
       const [leaving] = all;
