Count the interval of reading upstreams from the start of the last read

What callers see: over a slow link to the store, a removed upstream gets requests later than the bound allows.

Cause: the next read started an interval after the end of the last one, so that the duration of a read, and the delay after a failed one, counted twice.

Change: both are counted from when the last read was sent.

Measured: leavingUpstreams.test.ts 'although the link to the store is slow': a removal was known after 2291 ms, 1900 allowed; now within it.

--- a/src/services/knowledge/KnowledgeTask.ts
+++ b/src/services/knowledge/KnowledgeTask.ts
@@ -26,8 +26,8 @@
 /** The age of the upstreams' rows from which a read that replaces them is logged, as a fraction of `maxDrainDelayMs`. */
 const LATE_ROWS_FRACTION = 0.8;
 
-/** The delay in milliseconds before a failed read of the upstreams' rows is retried. */
-const UPSTREAM_RETRY_DELAY_MS = 250;
+/** The shortest time in milliseconds between the starts of a failed read of the upstreams' rows and the next one. */
+const MIN_UPSTREAM_RETRY_INTERVAL_MS = 250;
 
 /** The interval between two reads of the upstreams' rows, as a fraction of `maxDrainDelayMs`. */
 const UPSTREAM_POLL_FRACTION = 0.45;
@@ -323,9 +323,7 @@
         for (const {key, reason} of result.unreadableRows)
           this.logUnreadable(key, reason);
         this.applyUpstreamSnapshot(result, sentAtMs);
-        this.postAfter(this.getUpstreamPollDelayMs(), {
-          kind: 'pollUpstreamRows',
-        });
+        this.pollUpstreamRowsAt(this.getNextUpstreamPollAtMs(sentAtMs));
         return;
       case 'unavailable':
         this.storeAvailability = decisions.applyReadFailure(
@@ -333,23 +331,31 @@
           sentAtMs,
         );
         this.requestFromPeerIfStale();
-        this.postAfter(UPSTREAM_RETRY_DELAY_MS, {kind: 'pollUpstreamRows'});
+        this.pollUpstreamRowsAt(sentAtMs + MIN_UPSTREAM_RETRY_INTERVAL_MS);
         return;
       default:
         errors.throwUnreachable(result);
     }
   }
 
+  private pollUpstreamRowsAt(atMs: number): void {
+    this.postAfter(Math.max(0, atMs - this.nowMs()), {
+      kind: 'pollUpstreamRows',
+    });
+  }
+
   /**
-   * Returns the delay in milliseconds until the next read. After an outage of the store, that read starts no later than
-   * the end of the period in which upstreams may write their expired rows again.
+   * Returns the monotonic time in milliseconds of the next read. The interval is counted from the time at which the last
+   * read was sent, so that slow reads are not further apart. After an outage of the store, the next read starts no
+   * later than the end of the period in which upstreams may write their expired rows again.
    */
-  private getUpstreamPollDelayMs(): number {
-    const pollMs = this.getUpstreamPollIntervalMs();
-    if (this.outageEndedAtMs === undefined) return pollMs;
+  private getNextUpstreamPollAtMs(sentAtMs: number): number {
+    const pollAtMs = sentAtMs + this.getUpstreamPollIntervalMs();
+    if (this.outageEndedAtMs === undefined) return pollAtMs;
     const returnDeadlineMs = this.outageEndedAtMs + decisions.RENEWAL_GRACE_MS;
-    const remainingMs = returnDeadlineMs - this.nowMs();
-    return remainingMs > 0 ? Math.min(pollMs, remainingMs) : pollMs;
+    return returnDeadlineMs > this.nowMs()
+      ? Math.min(pollAtMs, returnDeadlineMs)
+      : pollAtMs;
   }
 
   private getUpstreamPollIntervalMs(): number {
--- a/standins/store/FakeStore.ts
+++ b/standins/store/FakeStore.ts
@@ -15,6 +15,8 @@
   | {readonly kind: 'silence'}
   /** Requests are executed and answered after this delay in milliseconds. */
   | {readonly kind: 'delay'; readonly delayMs: number}
+  /** Requests are executed at once and answered after this delay in milliseconds, as over a slow link. */
+  | {readonly kind: 'delayAnswers'; readonly delayMs: number}
   /** Writes are executed, but the connection is closed instead of an answer. */
   | {readonly kind: 'loseWriteAnswers'};
 
@@ -167,12 +169,15 @@
       case 'delay':
         await new Promise(resolve => setTimeout(resolve, fault.delayMs));
         break;
+      case 'delayAnswers':
       case 'loseWriteAnswers':
       case 'none':
         break;
     }
     const body = Buffer.concat(chunks).toString('utf8');
     const answer = await this.createAnswer(url, body, request);
+    if (fault.kind === 'delayAnswers')
+      await new Promise(resolve => setTimeout(resolve, fault.delayMs));
     if (this.silentSockets.has(request.socket)) return;
     const isWrite = url.pathname === '/api/rows-tx';
     if (fault.kind === 'loseWriteAnswers' && isWrite) {
--- a/test/platform/leavingUpstreams.test.ts
+++ b/test/platform/leavingUpstreams.test.ts
@@ -11,6 +11,11 @@
 const UPSTREAM_TABLE = 'servers';
 
 const SERVICE = 'desk';
+
+/** How long an answer takes over a slow link, and how long the store takes to execute a read. */
+const SLOW_LINK_DELAY_MS = 600;
+const EXECUTION_MS = 50;
+
 const CALL_COUNT = 20;
 const UNAVAILABLE = {kind: 'refuse', httpStatus: 503} as const;
 
@@ -144,4 +149,29 @@
       earl.expect((await countArrivals(fleet, 0, leaving)) > 0).toEqual(true);
     });
   });
+
+  // Guards against reads whose own duration adds twice to the time until a removal is known.
+  void test.it('although the link to the store is slow', async () => {
+    await withLeavingUpstream(1, async (fleet, leaving) => {
+      fleet.store.setFault({
+        kind: 'delayAnswers',
+        delayMs: SLOW_LINK_DELAY_MS,
+      });
+      await timers.setTimeout(2 * MAX_DRAIN_DELAY_MS);
+      await fleet.waitForRead(UPSTREAM_TABLE);
+      // The read has been executed, and its answer is on its way.
+      await timers.setTimeout(EXECUTION_MS);
+      fleet.store.deleteRow(UPSTREAM_TABLE, leaving.upstreamId);
+      const removedAtMs = performance.now();
+      await waitForLog(
+        fleet,
+        0,
+        `upstreamRemoved upstream=${leaving.upstreamId}`,
+      );
+      // A request that is sent until then takes as long over such a link.
+      earl
+        .expect(performance.now() - removedAtMs)
+        .toBeLessThan(MAX_DRAIN_DELAY_MS - SLOW_LINK_DELAY_MS);
+    });
+  });
 });
