--- a/src/decisions/retries/Quarantine.ts
+++ b/src/decisions/retries/Quarantine.ts
@@ -128,6 +128,17 @@
   };
 }
 
+/** Whether a suspect says more of a request than what is known: a newer generation, or more crashes in it. */
+export function isNewer(
+  known: SuspectRequest | undefined,
+  suspect: SuspectRequest,
+): boolean {
+  if (known === undefined) return suspect.crashCount > 0;
+  return suspect.generation === known.generation
+    ? suspect.crashCount > known.crashCount
+    : suspect.generation > known.generation;
+}
+
 /** Records suspects, and removes expired ones; beyond MAX_SUSPECTS, those with the fewest crashes go first. */
 export function recordSuspects(
   quarantine: Quarantine,
--- a/src/services/quarantine/QuarantineTask.ts
+++ b/src/services/quarantine/QuarantineTask.ts
@@ -278,20 +278,22 @@
         decodeSuspect(report, nowMs),
       ),
     );
-    for (const suspect of merged) {
-      const known = this.quarantine.get(suspect.requestDigestHex);
-      const isNew = known === undefined || !decisions.isQuarantined(known);
-      if (decisions.isQuarantined(suspect) && isNew)
+    const news = merged.filter(suspect =>
+      decisions.isNewer(this.quarantine.get(suspect.requestDigestHex), suspect),
+    );
+    for (const suspect of news)
+      if (decisions.isQuarantined(suspect))
         this.log('info', 'requestQuarantined', {
           digest: suspect.requestDigestHex,
           crashes: suspect.crashCount,
         });
-    }
     this.quarantine = decisions.recordSuspects(this.quarantine, merged, nowMs);
-    this.exchangeUntilMs = Math.max(
-      this.exchangeUntilMs,
-      nowMs + EXCHANGE_INTERVAL_MS,
-    );
+    // Passes the news on, but does not keep up exchanges for what all peers know.
+    if (news.length > 0)
+      this.exchangeUntilMs = Math.max(
+        this.exchangeUntilMs,
+        nowMs + 2 * EXCHANGE_INTERVAL_MS,
+      );
   }
 
   private getReports(): readonly peers.SuspectReport[] {
--- a/test/decisions/retries/Quarantine.test.ts
+++ b/test/decisions/retries/Quarantine.test.ts
@@ -163,6 +163,8 @@
           const merged = merge(suspects);
           earl.expect(merge([...suspects].reverse())).toEqual(merged);
           earl.expect(merge([...suspects, ...suspects])).toEqual(merged);
+          for (const suspect of suspects)
+            earl.expect(decisions.isNewer(merged, suspect)).toEqual(false);
         },
       ),
       {numRuns: 300, seed: 35},
