Let answers of the store take longer than the timeout while they arrive

What callers see: on a VM with a slow link, upstreams that have left get requests beyond the bound, above all once the configuration is large.

Cause: a read of the store was given up 900 ms after it was sent, however much of its answer had arrived, and repeated from the start.

Measured: leavingUpstreams.test.ts 'although answers of the store take long to arrive' failed before (7 of 20 requests).

--- a/src/services/http/readBody.ts
+++ b/src/services/http/readBody.ts
@@ -57,12 +57,15 @@
 /**
  * Reads the whole body of an answer of the store or of a peer as text. Closes its connection when the body exceeds a
  * limit.
+ * @param onPiece Called for each piece of the body.
  * @throws Error when the body is too large, comes in too many small pieces or is incomplete.
  */
 export async function readAnswerText(
   body: stream.Readable,
   maxBytes: number,
+  onPiece: () => void = () => {},
 ): Promise<string> {
+  body.on('data', onPiece);
   const result = await new readers.BodyReader(body, 'answer', {
     maxBytes,
     memory: new memories.BodyMemory('answer'),
--- a/src/services/store/StoreTask.ts
+++ b/src/services/store/StoreTask.ts
@@ -5,7 +5,7 @@
 import type * as messages from './StoreMessage.js';
 
 /**
- * The timeout in milliseconds of a call to the store: well above the response time of a slow store, and within the
+ * The time in milliseconds within which the store must answer a call, or send more of its answer: well above the response time of a slow store, and within the
  * bounds on applying a configuration and on detecting a leaving upstream.
  */
 const ANSWER_TIMEOUT_MS = 900;
--- a/standins/store/FakeStore.ts
+++ b/standins/store/FakeStore.ts
@@ -17,6 +17,8 @@
   | {readonly kind: 'delay'; readonly delayMs: number}
   /** Requests are executed at once and answered after this delay in milliseconds, as over a slow link. */
   | {readonly kind: 'delayAnswers'; readonly delayMs: number}
+  /** Requests are executed at once, and their answers arrive piece by piece within this time in milliseconds. */
+  | {readonly kind: 'slowAnswers'; readonly durationMs: number}
   /** Writes are executed, but the connection is closed instead of an answer. */
   | {readonly kind: 'loseWriteAnswers'};
 
@@ -45,6 +47,9 @@
 
 const HTTP_UNAVAILABLE = 503;
 
+/** The number of pieces in which a slow answer is sent. */
+const SLOW_PIECE_COUNT = 20;
+
 /** The maximum number of rows in one answer when the request sets no limit. */
 const MAX_PAGE_ROWS = 500;
 
@@ -170,6 +175,7 @@
         await new Promise(resolve => setTimeout(resolve, fault.delayMs));
         break;
       case 'delayAnswers':
+      case 'slowAnswers':
       case 'loseWriteAnswers':
       case 'none':
         break;
@@ -185,7 +191,10 @@
       return;
     }
     response.writeHead(answer.httpStatus, {'content-type': 'application/json'});
-    response.end(JSON.stringify(answer.body));
+    const text = JSON.stringify(answer.body);
+    if (fault.kind === 'slowAnswers')
+      await sendSlowly(response, text, fault.durationMs);
+    response.end(fault.kind === 'slowAnswers' ? '' : text);
   }
 
   private getFault(callerAddress: string): StoreFault {
@@ -288,6 +297,20 @@
   }
 }
 
+async function sendSlowly(
+  response: http.ServerResponse,
+  text: string,
+  durationMs: number,
+): Promise<void> {
+  const pieceLength = Math.ceil(text.length / SLOW_PIECE_COUNT);
+  for (let from = 0; from < text.length; from += pieceLength) {
+    response.write(text.slice(from, from + pieceLength));
+    await new Promise(resolve =>
+      setTimeout(resolve, durationMs / SLOW_PIECE_COUNT),
+    );
+  }
+}
+
 function getRowKey(name: RowIdentity): string {
   return `${name.Table}|${name.part ?? ''}|${name.Key}`;
 }
--- a/test/platform/leavingUpstreams.test.ts
+++ b/test/platform/leavingUpstreams.test.ts
@@ -16,6 +16,9 @@
 const SLOW_LINK_DELAY_MS = 600;
 const EXECUTION_MS = 50;
 
+/** How long the whole answer takes over a very slow link: longer than the store's timeout. */
+const SLOW_ANSWER_MS = 1500;
+
 const CALL_COUNT = 20;
 const UNAVAILABLE = {kind: 'refuse', httpStatus: 503} as const;
 
@@ -174,4 +177,22 @@
         .toBeLessThan(MAX_DRAIN_DELAY_MS - SLOW_LINK_DELAY_MS);
     });
   });
+
+  // Guards against reads that are given up and repeated from the start although their answers keep arriving.
+  void test.it(
+    'although answers of the store take long to arrive',
+    async () => {
+      await withLeavingUpstream(1, async (fleet, leaving) => {
+        fleet.store.setFault({
+          kind: 'slowAnswers',
+          durationMs: SLOW_ANSWER_MS,
+        });
+        await fleet.waitForRead(UPSTREAM_TABLE);
+        await timers.setTimeout(EXECUTION_MS);
+        fleet.store.deleteRow(UPSTREAM_TABLE, leaving.upstreamId);
+        await timers.setTimeout(2 * SLOW_ANSWER_MS + MAX_DRAIN_DELAY_MS);
+        earl.expect(await countArrivals(fleet, 0, leaving)).toEqual(0);
+      });
+    },
+  );
 });
