Let rows from peers take longer than the timeout while they arrive

A VM that the store refuses learns of leaving upstreams from peers only.

Change: a call may have a second deadline that holds while its answer arrives; the request for rows uses it. A silent peer is given up as early as before.

Measured: PeersTask.test.ts 'waits for an answer while it arrives' fails without the change.

--- a/src/services/knowledge/KnowledgeTask.ts
+++ b/src/services/knowledge/KnowledgeTask.ts
@@ -38,8 +38,9 @@
 /** The shortest time in milliseconds between two requests to peers. */
 const MIN_PEER_REQUEST_INTERVAL_MS = 400;
 
-/** The timeout in milliseconds of a request to a peer. */
+/** The timeout in milliseconds of a request to a peer, and how long its answer may take while it arrives. */
 const PEER_TIMEOUT_MS = 700;
+const MAX_PEER_ANSWER_MS = 2100;
 
 /** The shortest time in milliseconds between two log lines about the same unreadable row. */
 const UNREADABLE_LOG_INTERVAL_MS = 60_000;
@@ -490,6 +491,7 @@
         peersAddress: member.peersAddress,
         request: {kind: 'getKnowledge'},
         deadlineMs: nowMs + PEER_TIMEOUT_MS,
+        lastDeadlineMs: nowMs + MAX_PEER_ANSWER_MS,
         reply,
       }))
       .then(result => this.handlePeerAnswer(member.vmId, result));
--- a/src/services/peers/PeersMessage.ts
+++ b/src/services/peers/PeersMessage.ts
@@ -18,6 +18,8 @@
       readonly request: peers.PeerRequest;
       /** Monotonic time in milliseconds after which the call fails. */
       readonly deadlineMs: number;
+      /** Monotonic time after which the call fails even while its answer arrives; `deadlineMs` when omitted. */
+      readonly lastDeadlineMs?: number;
       readonly reply: kernel.Reply<CallResult>;
     }
   /** Returns the address of the peers' listener as host:port. */
--- a/src/services/peers/PeersTask.ts
+++ b/src/services/peers/PeersTask.ts
@@ -90,7 +90,11 @@
     remainingMs: number,
   ): Promise<messages.CallResult> {
     const id = this.nextCallId++;
-    const timeout = new http.ReadTimeout(remainingMs);
+    const {deadlineMs, lastDeadlineMs = deadlineMs} = message;
+    const timeout = new http.ReadTimeout(
+      remainingMs,
+      remainingMs + lastDeadlineMs - deadlineMs,
+    );
     try {
       const response = await this.getPool(message.peersAddress).request({
         method: 'POST',
@@ -105,6 +109,7 @@
       const text = await http.readAnswerText(
         response.body,
         http.MAX_INTERNAL_BODY_BYTES,
+        () => timeout.extend(),
       );
       if (response.statusCode !== HTTP_OK) return {kind: 'failed'};
       return rpc.decodePeerResponse(text, id);
--- a/test/services/peers/PeersTask.test.ts
+++ b/test/services/peers/PeersTask.test.ts
@@ -1,5 +1,8 @@
+import * as events from 'node:events';
+import * as http from 'node:http';
 import * as net from 'node:net';
 import * as test from 'node:test';
+import * as timers from 'node:timers/promises';
 import * as earl from 'earl';
 import * as kernel from '../../../src/kernel/index.js';
 import type * as peers from '../../../src/model/peers/index.js';
@@ -11,6 +14,30 @@
 const CALL_TIMEOUT_MS = 5000;
 const LENT_COUNT = 3;
 
+/** How long an answer takes that arrives slowly, and in how many pieces it arrives. */
+const SLOW_ANSWER_MS = 1000;
+const PIECE_COUNT = 10;
+
+/** Answers a call that wants rows, in pieces over SLOW_ANSWER_MS. */
+async function answerSlowly(
+  request: http.IncomingMessage,
+  response: http.ServerResponse,
+): Promise<void> {
+  const pieces: Buffer[] = [];
+  for await (const piece of request) pieces.push(piece as Buffer);
+  const {id} = JSON.parse(Buffer.concat(pieces).toString('utf8')) as {
+    readonly id: number;
+  };
+  const result: peers.PeerAnswer = {kind: 'knowledge'};
+  const text = JSON.stringify({jsonrpc: '2.0', id, result});
+  const length = Math.ceil(text.length / PIECE_COUNT);
+  for (let from = 0; from < text.length; from += length) {
+    response.write(text.slice(from, from + length));
+    await timers.setTimeout(SLOW_ANSWER_MS / PIECE_COUNT);
+  }
+  response.end();
+}
+
 /** Starts the peers service with a shares service that lends LENT_COUNT requests. */
 async function startDaemon(): Promise<kernel.Kernel> {
   const shares = new stubs.StubTask<services.SharesMessage>(message => {
@@ -106,4 +133,36 @@
         await daemon.stop();
       }
     });
+
+  // Guards against giving up large answers that arrive slowly, and asking for them again from the start.
+  void test.it('waits for an answer while it arrives', async () => {
+    const server = http.createServer((request, response) => {
+      void answerSlowly(request, response);
+    });
+    server.listen(0, '127.0.0.1');
+    await events.EventEmitter.once(server, 'listening');
+    const {port} = server.address() as net.AddressInfo;
+    const daemon = await startDaemon();
+    const callSlow = async (lastDeadlineMs: number) =>
+      await daemon
+        .getOrThrow(services.PEERS)
+        .ask<services.CallResult>(reply => ({
+          kind: 'call',
+          peersAddress: `127.0.0.1:${port}`,
+          request: {kind: 'getKnowledge'},
+          deadlineMs: performance.now() + SLOW_ANSWER_MS / 2,
+          lastDeadlineMs,
+          reply,
+        }));
+    try {
+      const patient = await callSlow(performance.now() + 4 * SLOW_ANSWER_MS);
+      earl.expect(patient.kind).toEqual('answered');
+      const hasty = await callSlow(performance.now() + SLOW_ANSWER_MS / 2);
+      earl.expect(hasty.kind).toEqual('failed');
+    } finally {
+      await daemon.stop();
+      server.closeAllConnections();
+      server.close();
+    }
+  });
 });
