Stop crashing requests also when upstreams are slow to crash

At slow upstreams a request crashes them long after it was sent, so that many attempts are under way before a second one in a row can be known; and a second trial would be sent before the first one is settled. Found by reading.

Change: upstreams that crashed side by side are counted as well; four weigh as much as two in a row. Trials are at least 10 s apart.

--- a/src/codecs/members/memberStatus.ts
+++ b/src/codecs/members/memberStatus.ts
@@ -94,7 +94,10 @@
   b: zod.int().min(0),
 });
 
-/** For each request: its digest, its generation, its crashes in a row, and the times to its trial and its expiry. */
+/**
+ * For each request: its digest, its generation, its crashes in a row, the times to its trial and its expiry, and the
+ * upstreams that crashed.
+ */
 const suspectsSchema = zod.array(
   zod.tuple([
     zod.string(),
@@ -102,6 +105,7 @@
     zod.int().min(0),
     zod.number().min(0),
     zod.number().min(0),
+    zod.array(zod.string()),
   ]),
 );
 
@@ -162,6 +166,7 @@
     suspect.crashCount,
     Math.ceil(suspect.trialInMs),
     Math.ceil(suspect.expiresInMs),
+    [...suspect.upstreamIds],
   ]);
   return encodeDatagram(SUSPECTS_METHOD, params);
 }
@@ -210,8 +215,16 @@
   crashCount,
   trialInMs,
   expiresInMs,
+  upstreamIds,
 ]: zod.infer<typeof suspectsSchema>[number]): peers.SuspectReport {
-  return {requestDigestHex, generation, crashCount, trialInMs, expiresInMs};
+  return {
+    requestDigestHex,
+    generation,
+    crashCount,
+    upstreamIds,
+    trialInMs,
+    expiresInMs,
+  };
 }
 
 function decodeStart(
--- a/src/codecs/peers/peerSchemas.ts
+++ b/src/codecs/peers/peerSchemas.ts
@@ -25,6 +25,7 @@
       requestDigestHex: zod.string(),
       generation: zod.int().min(0),
       crashCount: zod.int().min(0),
+      upstreamIds: zod.array(zod.string()),
       trialInMs: zod.number().min(0),
       expiresInMs: zod.number().min(0),
     }),
--- a/src/decisions/retries/Quarantine.ts
+++ b/src/decisions/retries/Quarantine.ts
@@ -9,6 +9,9 @@
   /** The number of crashes in a row: each by an attempt that was sent after the previous crash was known. */
   readonly crashCount: number;
 
+  /** Upstreams that crashed in this generation, also those that crashed side by side. */
+  readonly upstreamIds: readonly string[];
+
   /** Monotonic time in milliseconds from which a quarantined request may be sent once more, as a trial. */
   readonly nextTrialAtMs: number;
 
@@ -32,6 +35,15 @@
 /** The number of crashes in a row from which a request is quarantined. */
 const MAX_CRASHES = 2;
 
+/**
+ * How many more upstreams must have crashed side by side than in a row to weigh as much. Slow upstreams crash long after
+ * the request was sent, when many more attempts are under way.
+ */
+const SIDE_BY_SIDE_ALLOWANCE = 2;
+
+/** The largest number of upstreams that are recorded for a request. */
+const MAX_RECORDED_UPSTREAMS = 8;
+
 /** How long in milliseconds a suspect request is recorded after its last crash. */
 export const SUSPECT_EXPIRY_MS = 600_000;
 
@@ -40,6 +52,9 @@
 const TRIAL_DELAY_FACTOR = 10;
 const MAX_TRIAL_DELAY_MS = 300_000;
 
+/** The shortest time between two trials, within which the outcome of the first one is normally known. */
+const MIN_TRIAL_INTERVAL_MS = 10_000;
+
 /** The largest number of recorded requests. */
 export const MAX_SUSPECTS = 1024;
 
@@ -60,7 +75,7 @@
     return {kind: 'admitted', mark: UNSUSPECTED};
   const {generation, crashCount} = suspect;
   const mark: AttemptMark = {generation, crashCount};
-  if (crashCount < MAX_CRASHES) return {kind: 'admitted', mark};
+  if (!isQuarantined(suspect)) return {kind: 'admitted', mark};
   return nowMs >= suspect.nextTrialAtMs
     ? {kind: 'trial', mark}
     : {kind: 'quarantined', crashCount};
@@ -71,13 +86,13 @@
   suspect: SuspectRequest,
   nowMs: number,
 ): SuspectRequest {
-  const nextTrialAtMs = nowMs + getTrialDelayMs(suspect.crashCount);
-  return {...suspect, nextTrialAtMs};
+  const delayMs = Math.max(MIN_TRIAL_INTERVAL_MS, getTrialDelayMs(suspect));
+  return {...suspect, nextTrialAtMs: nowMs + delayMs};
 }
 
 /**
- * Gets the suspect after an upstream crashed that was running it. Attempts that were sent side by side count as one, as
- * upstreams that crash together take the same requests with them.
+ * Gets the suspect after an upstream crashed that was running it. Attempts that were sent side by side count as one in a
+ * row, as upstreams that crash together take the same requests with them.
  *
  * @param suspect What is known of the request now; undefined for nothing.
  * @param mark What was known of it when the attempt began.
@@ -86,20 +101,24 @@
   suspect: SuspectRequest | undefined,
   requestDigestHex: string,
   mark: AttemptMark,
+  upstreamId: string,
   nowMs: number,
 ): SuspectRequest {
   const generation = Math.max(suspect?.generation ?? 0, mark.generation);
-  const knownCount =
-    suspect?.generation === generation ? suspect.crashCount : 0;
-  const markedCount = mark.generation === generation ? mark.crashCount + 1 : 0;
-  const crashCount = Math.max(knownCount, markedCount);
-  return {
+  const known = suspect?.generation === generation ? suspect : undefined;
+  const isCurrent = mark.generation === generation;
+  const crashed: SuspectRequest = {
     requestDigestHex,
     generation,
-    crashCount,
-    nextTrialAtMs: nowMs + getTrialDelayMs(crashCount),
+    crashCount: Math.max(
+      known?.crashCount ?? 0,
+      isCurrent ? mark.crashCount + 1 : 0,
+    ),
+    upstreamIds: unite(known?.upstreamIds ?? [], isCurrent ? [upstreamId] : []),
+    nextTrialAtMs: nowMs,
     expiresAtMs: nowMs + SUSPECT_EXPIRY_MS,
   };
+  return {...crashed, nextTrialAtMs: nowMs + getTrialDelayMs(crashed)};
 }
 
 /** Gets the suspect after an upstream answered the request, which therefore does not crash upstreams. */
@@ -109,6 +128,7 @@
     ...suspect,
     generation: suspect.generation + 1,
     crashCount: 0,
+    upstreamIds: [],
     nextTrialAtMs: -Infinity,
   };
 }
@@ -123,6 +143,7 @@
   return {
     ...own,
     crashCount: Math.max(own.crashCount, other.crashCount),
+    upstreamIds: unite(own.upstreamIds, other.upstreamIds),
     nextTrialAtMs: Math.max(own.nextTrialAtMs, other.nextTrialAtMs),
     expiresAtMs: Math.max(own.expiresAtMs, other.expiresAtMs),
   };
@@ -134,9 +155,12 @@
   suspect: SuspectRequest,
 ): boolean {
   if (known === undefined) return suspect.crashCount > 0;
-  return suspect.generation === known.generation
-    ? suspect.crashCount > known.crashCount
-    : suspect.generation > known.generation;
+  if (suspect.generation !== known.generation)
+    return suspect.generation > known.generation;
+  return (
+    suspect.crashCount > known.crashCount ||
+    suspect.upstreamIds.length > known.upstreamIds.length
+  );
 }
 
 /** Records suspects, and removes expired ones; beyond MAX_SUSPECTS, those with the fewest crashes go first. */
@@ -170,15 +194,25 @@
 
 /** Whether a suspect is quarantined: it is sent only as a trial. */
 export function isQuarantined(suspect: SuspectRequest): boolean {
-  return suspect.crashCount >= MAX_CRASHES;
+  return getSeverity(suspect) >= MAX_CRASHES;
 }
 
 function compareImportance(a: SuspectRequest, b: SuspectRequest): number {
-  return a.crashCount - b.crashCount || a.expiresAtMs - b.expiresAtMs;
+  return getSeverity(a) - getSeverity(b) || a.expiresAtMs - b.expiresAtMs;
+}
+
+/** Gets the number of crashes in a row, or what those side by side weigh if that is more. */
+function getSeverity({crashCount, upstreamIds}: SuspectRequest): number {
+  return Math.max(crashCount, upstreamIds.length - SIDE_BY_SIDE_ALLOWANCE);
+}
+
+/** Unites two lists of upstreams; the result does not depend on their order. */
+function unite(a: readonly string[], b: readonly string[]): readonly string[] {
+  return [...new Set([...a, ...b])].sort().slice(0, MAX_RECORDED_UPSTREAMS);
 }
 
-function getTrialDelayMs(crashCount: number): number {
-  const trialCount = Math.max(0, crashCount - MAX_CRASHES);
+function getTrialDelayMs(suspect: SuspectRequest): number {
+  const trialCount = Math.max(0, getSeverity(suspect) - MAX_CRASHES);
   return Math.min(
     MAX_TRIAL_DELAY_MS,
     FIRST_TRIAL_DELAY_MS * TRIAL_DELAY_FACTOR ** trialCount,
--- a/src/model/peers/PeerMessage.ts
+++ b/src/model/peers/PeerMessage.ts
@@ -57,6 +57,9 @@
   /** The number of crashes in a row since then. */
   readonly crashCount: number;
 
+  /** Upstreams that crashed since then, also side by side. */
+  readonly upstreamIds: readonly string[];
+
   /** Time in milliseconds until the request may be sent once more as a trial. */
   readonly trialInMs: number;
 
--- a/src/services/quarantine/QuarantineTask.ts
+++ b/src/services/quarantine/QuarantineTask.ts
@@ -177,12 +177,14 @@
       this.quarantine.get(digestHex),
       digestHex,
       mark,
+      upstream.upstreamId,
       this.nowMs(),
     );
     this.log('warn', 'requestSuspected', {
       upstream: upstream.upstreamId,
       digest: digestHex,
       crashes: suspect.crashCount,
+      upstreams: suspect.upstreamIds.length,
       quarantined: decisions.isQuarantined(suspect),
     });
     await Promise.race([
@@ -327,12 +329,14 @@
       requestDigestHex,
       generation,
       crashCount,
+      upstreamIds,
       nextTrialAtMs,
       expiresAtMs,
     }) => ({
       requestDigestHex,
       generation,
       crashCount,
+      upstreamIds,
       trialInMs: Math.max(0, nextTrialAtMs - nowMs),
       expiresInMs: Math.max(0, expiresAtMs - nowMs),
     }),
@@ -343,11 +347,12 @@
   report: peers.SuspectReport,
   nowMs: number,
 ): decisions.SuspectRequest {
-  const {requestDigestHex, generation, crashCount} = report;
+  const {requestDigestHex, generation, crashCount, upstreamIds} = report;
   return {
     requestDigestHex,
     generation,
     crashCount,
+    upstreamIds,
     nextTrialAtMs: nowMs + report.trialInMs,
     expiresAtMs:
       nowMs + Math.min(report.expiresInMs, decisions.SUSPECT_EXPIRY_MS),
--- a/standins/store/FakeUpstream.ts
+++ b/standins/store/FakeUpstream.ts
@@ -82,6 +82,9 @@
   /** The upstream crashes when it begins to run a request whose target starts with this; empty for none. */
   crashingTarget = '';
 
+  /** The time in milliseconds that a crashing request waits in the upstream's queue before it begins to run. */
+  crashDelayMs = 0;
+
   /** Called after the upstream has crashed. */
   onCrash: () => void = () => {};
 
@@ -202,7 +205,8 @@
     });
     const {crashingTarget} = this;
     if (crashingTarget !== '' && request.url?.startsWith(crashingTarget)) {
-      this.crash();
+      if (await this.waitForServiceTime(response, this.crashDelayMs))
+        this.crash();
       return;
     }
     this.activeRequestIds.add(requestId);
--- a/test/platform/CrashTrial.ts
+++ b/test/platform/CrashTrial.ts
@@ -36,6 +36,9 @@
   readonly cause: CrashCause;
   readonly durationMs: number;
 
+  /** How long a crashing request waits at an upstream before it begins to run. */
+  readonly queueMs?: number;
+
   /** Whether one VM after the other is killed and started again. */
   readonly areVmsKilled: boolean;
   readonly seed: number;
@@ -129,6 +132,7 @@
     const upstream = await this.fleet.addUpstream(SERVICE);
     upstream.serviceMs = 20;
     upstream.crashingTarget = CRASHING_PATH;
+    upstream.crashDelayMs = this.options.queueMs ?? 0;
     upstream.onCrash = () => this.handleCrash(upstream);
     this.live.add(upstream);
   }
--- a/test/platform/crashingRequests.test.ts
+++ b/test/platform/crashingRequests.test.ts
@@ -59,6 +59,17 @@
       seed: 3502,
     },
   ],
+  [
+    'a safe one for many objects that waits in queues first',
+    {
+      vmCount: 3,
+      cause: {kind: 'request', method: 'GET', count: 100, objects: 'many'},
+      queueMs: 1000,
+      durationMs: DURATION_MS,
+      areVmsKilled: false,
+      seed: 3504,
+    },
+  ],
 ];
 
 void test.describe('a request that crashes upstreams', () => {
