--- a/src/services/dispatch/DispatchTask.ts
+++ b/src/services/dispatch/DispatchTask.ts
@@ -401,14 +401,13 @@
     const isPreferred =
       placement.kind === 'chosen' &&
       this.registry.isInSameRegion(placement.upstreamId, ranked[0]);
-    // The few ranked upstreams do not stand for their region while one of them is unreachable or none is available.
-    const isNoneAvailable = placement.kind === 'none';
-    if (isPreferred) return placement;
-    if (!isNoneAvailable && !this.registry.isAnyUnreachable(ranked, nowMs))
+    // The few ranked upstreams do not stand for their region while one of them is unreachable.
+    if (isPreferred || !this.registry.isAnyUnreachable(ranked, nowMs))
       return placement;
-    const excludedIds = isNoneAvailable
-      ? [...triedUpstreamIds, ...ranked]
-      : triedUpstreamIds;
+    const excludedIds =
+      placement.kind === 'none'
+        ? [...triedUpstreamIds, ...ranked]
+        : triedUpstreamIds;
     const others = this.registry.rankReachable(query, excludedIds, nowMs);
     return this.placeAmong(dispatch, query, others, {triedUpstreamIds, nowMs});
   }
