Keep requests with available preferred upstreams, and count attempts that timed out

Change: others are ranked beside an unreachable upstream only when none of the preferred ones is available; an attempt is free only if its connection was refused at once.

--- a/src/services/dispatch/DispatchTask.ts
+++ b/src/services/dispatch/DispatchTask.ts
@@ -401,8 +401,7 @@
     const isPreferred =
       placement.kind === 'chosen' &&
       this.registry.isInSameRegion(placement.upstreamId, ranked[0]);
-    // The few ranked upstreams do not stand for their region while one of them is unreachable.
-    if (isPreferred || !this.registry.isAnyUnreachable(ranked, nowMs))
+    if (isPreferred || !this.needsOthers(placement, ranked, nowMs))
       return placement;
     const excludedIds =
       placement.kind === 'none'
@@ -412,6 +411,21 @@
     return this.placeAmong(dispatch, query, others, {triedUpstreamIds, nowMs});
   }
 
+  /**
+   * Whether the few ranked upstreams do not stand for their region: one of them is paused, or none is available and one
+   * is unreachable. While others are available, requests stay with them, as they have their objects warm.
+   */
+  private needsOthers(
+    placement: decisions.Placement,
+    ranked: readonly string[],
+    nowMs: number,
+  ): boolean {
+    if (this.registry.isAnyPaused(ranked, nowMs)) return true;
+    return (
+      placement.kind === 'none' && this.registry.isAnyUnreachable(ranked, nowMs)
+    );
+  }
+
   private placeAmong(
     dispatch: messages.EntryDispatch,
     {serviceId, objectName}: registries.RankQuery,
@@ -624,8 +638,16 @@
   }
 }
 
+/** Whether an attempt ended without a request and without delay. */
 function isUnsent(result: connections.SendResult): boolean {
-  return result.kind === 'withheld' || result.kind === 'notSent';
+  switch (result.kind) {
+    case 'withheld':
+      return true;
+    case 'notSent':
+      return result.reason === 'ECONNREFUSED';
+    default:
+      return false;
+  }
 }
 
 function getRepeatable({
--- a/src/services/dispatch/UpstreamRegistry.ts
+++ b/src/services/dispatch/UpstreamRegistry.ts
@@ -201,6 +201,14 @@
     );
   }
 
+  /** Whether one of the upstreams is paused at the monotonic time `nowMs`, in milliseconds. */
+  isAnyPaused(upstreamIds: readonly string[], nowMs: number): boolean {
+    return upstreamIds.some(upstreamId => {
+      const hold = this.get(upstreamId)?.state.hold;
+      return hold?.kind === 'paused' && decisions.isHeld(hold, nowMs);
+    });
+  }
+
   /** Whether one of the upstreams is unreachable at the monotonic time `nowMs`, in milliseconds. */
   isAnyUnreachable(upstreamIds: readonly string[], nowMs: number): boolean {
     return upstreamIds.some(
--- a/test/services/dispatch/UpstreamRegistry.test.ts
+++ b/test/services/dispatch/UpstreamRegistry.test.ts
@@ -175,6 +175,7 @@
     const ranked = registry.rank(query);
     for (const [index, id] of ranked.entries())
       registry.get(id)?.state.extendPause(1000 + index, 0);
+    earl.expect(registry.isAnyPaused(ranked, 999)).toEqual(true);
     earl.expect(registry.isAnyUnreachable(ranked, 999)).toEqual(true);
     const open = registry.rankReachable(query, [], 999);
     earl
