--- a/src/services/dispatch/decideStep.ts
+++ b/src/services/dispatch/decideStep.ts
@@ -32,12 +32,12 @@
   message: 'no time is left to run the request',
 };
 
-/** Gets the failure of a request that crashed `crashCount` upstreams in a row and is not sent again. */
+/** Gets the failure of a quarantined request, under which `crashCount` upstreams in a row crashed. */
 export function getQuarantineFailure(crashCount: number): Failure {
   return {
     kind: 'mayHaveRun',
     error: 'upstreamFailed',
-    message: `quarantined: ${crashCount} upstreams in a row crashed while they had the request`,
+    message: `quarantined: upstreams crashed while they had the request, ${crashCount} in a row`,
   };
 }
 
--- a/src/services/upstreams/UpstreamsTask.ts
+++ b/src/services/upstreams/UpstreamsTask.ts
@@ -327,7 +327,7 @@
   return {
     kind: 'mayHaveRun',
     error: 'requestQuarantined',
-    message: `${crashCount} upstreams in a row crashed while they had the request`,
+    message: `upstreams crashed while they had the request, ${crashCount} in a row`,
   };
 }
 
