Log how far a request had come when it ends without its upstream's answer

Each such end now tells its phase, the age that the request was taken to have, the part of it that passed before it was read, what its caller had left, whether it was the last of its connection, and the time since the stop began. Requests that are abandoned, answers that are written but not sent, and connections that are closed at the end of a stop get events of their own.

No change of behaviour.

--- a/src/model/entry/EntryRequest.ts
+++ b/src/model/entry/EntryRequest.ts
@@ -18,9 +18,12 @@
   /** The identifier of the object that the request concerns, or an empty string. */
   readonly objectKey: string;
 
-  /** Monotonic time in milliseconds at which the request was read. */
+  /** The earliest monotonic time in milliseconds at which the request may have arrived. */
   readonly arrivedAtMs: number;
 
+  /** Monotonic time in milliseconds at which the request's head was read. */
+  readonly readAtMs: number;
+
   /** Monotonic time in milliseconds until which the caller waits for the response. */
   readonly callerDeadlineMs: number;
 }
--- a/src/model/entry/index.ts
+++ b/src/model/entry/index.ts
@@ -4,5 +4,6 @@
 export * from './EntrySettings.js';
 export * from './TableSnapshot.js';
 export * from './MemberRecord.js';
+export * from './RequestPhase.js';
 export * from './UpstreamRecord.js';
 export * from './UpstreamStart.js';
--- a/src/services/dispatch/DispatchMessage.ts
+++ b/src/services/dispatch/DispatchMessage.ts
@@ -21,12 +21,13 @@
 export type DispatchOutcome =
   | {readonly kind: 'answered'; readonly answer: entry.EntryAnswer}
   /** The caller disconnected. */
-  | {readonly kind: 'abandoned'}
+  | {readonly kind: 'abandoned'; readonly phase: entry.RequestPhase}
   /** No upstream ran the request, and none will run it later. */
   | {
       readonly kind: 'notRun';
       readonly error: errors.ErrorKind;
       readonly message: string;
+      readonly phase: entry.RequestPhase;
 
       /** Earliest monotonic time in milliseconds at which the caller should retry. */
       readonly retryAtMs: number;
@@ -35,6 +36,7 @@
       readonly kind: 'mayHaveRun';
       readonly error: errors.ErrorKind;
       readonly message: string;
+      readonly phase: entry.RequestPhase;
     };
 
 /** The messages that the dispatch service receives. */
--- a/src/services/dispatch/DispatchTask.ts
+++ b/src/services/dispatch/DispatchTask.ts
@@ -270,7 +270,7 @@
     let unsentCount = 0;
     let failure: steps.Failure | undefined;
     while (attemptCount < Math.max(1, route.maxUpstreams)) {
-      if (abandoned.aborted) return {kind: 'abandoned'};
+      if (abandoned.aborted) return {kind: 'abandoned', phase: 'placing'};
       const remainingMs =
         dispatch.deadlineMs - RETURN_RESERVE_MS - this.nowMs();
       if (remainingMs < MIN_REMAINING_MS) break;
@@ -551,10 +551,14 @@
           this.registry.getFirstPauseEndMs(query, nowMs) ?? nowMs;
         const earliestMs = Math.max(nowMs + MIN_RETRY_MS, openAtMs);
         const jitterMs = JITTER_MS * this.random.draw();
-        return {...failure, retryAtMs: earliestMs + jitterMs};
+        return {
+          ...failure,
+          kind: failure.kind,
+          retryAtMs: earliestMs + jitterMs,
+        };
       }
       case 'mayHaveRun':
-        return failure;
+        return {...failure, kind: failure.kind};
     }
   }
 
--- a/src/services/dispatch/UpstreamConnections.ts
+++ b/src/services/dispatch/UpstreamConnections.ts
@@ -29,12 +29,16 @@
   /** The request was not sent, since the upstream stopped being eligible while it waited for a connection. */
   | {readonly kind: 'withheld'}
   /** The connection broke after the request was sent on it. */
-  | {readonly kind: 'broken'; readonly reason: string}
+  | {
+      readonly kind: 'broken';
+      readonly reason: string;
+      readonly phase: entry.RequestPhase;
+    }
   /** The response does not belong to this request. */
   | {readonly kind: 'garbled'}
-  | {readonly kind: 'timedOut'}
+  | {readonly kind: 'timedOut'; readonly phase: entry.RequestPhase}
   /** The caller disconnected. */
-  | {readonly kind: 'abandoned'};
+  | {readonly kind: 'abandoned'; readonly phase: entry.RequestPhase};
 
 /** A request to one upstream, with its encoded headers and its limits. */
 export interface OutboundRequest {
@@ -90,7 +94,8 @@
   /** Sends a request once, unless its caller has disconnected. */
   send(outbound: OutboundRequest): Promise<SendResult> {
     // An aborted signal doesn't notify listeners that are added later.
-    if (outbound.abandoned.aborted) return Promise.resolve({kind: 'abandoned'});
+    if (outbound.abandoned.aborted)
+      return Promise.resolve({kind: 'abandoned', phase: 'placing'});
     const {request} = outbound;
     const client = outbound.needsNewConnection
       ? new undici.Client(this.origin, getClientOptions(this.resetMonitor))
@@ -161,7 +166,8 @@
   private readonly timer: httpService.ReadTimer;
   private readonly body = new httpService.BodyBuffer('answer');
   private interimCount = 0;
-  private readonly onAbandoned = () => this.abort({kind: 'abandoned'});
+  private readonly onAbandoned = () =>
+    this.abort({kind: 'abandoned', phase: this.phase});
   private controller: undici.Dispatcher.DispatchController | undefined;
   private httpStatus = 0;
   private framing: entry.EntryAnswer['framing'] = 'length';
@@ -183,7 +189,7 @@
     this.memory = memory;
     this.settle = settle;
     this.timer = new httpService.ReadTimer(outbound.remainingMs, () =>
-      this.abort({kind: 'timedOut'}),
+      this.abort({kind: 'timedOut', phase: this.phase}),
     );
     outbound.abandoned.addEventListener('abort', this.onAbandoned);
   }
@@ -192,12 +198,18 @@
     return this.body.heldBytes;
   }
 
+  private get phase(): entry.RequestPhase {
+    if (this.controller === undefined) return 'connecting';
+    return this.envelope === undefined ? 'atUpstream' : 'receivingAnswer';
+  }
+
   get excessPieceCount(): number {
     return this.body.excessPieceCount;
   }
 
   drop(reason: httpService.DropReason): void {
-    this.abort({kind: 'broken', reason: getDropText(reason)});
+    const {phase} = this;
+    this.abort({kind: 'broken', reason: getDropText(reason), phase});
   }
 
   onRequestStart(controller: undici.Dispatcher.DispatchController): void {
@@ -214,7 +226,11 @@
     if (httpStatus < 200) {
       this.interimCount += 1;
       if (this.interimCount > httpService.MAX_INTERIM_ANSWERS)
-        this.abort({kind: 'broken', reason: 'too many interim answers'});
+        this.abort({
+          kind: 'broken',
+          reason: 'too many interim answers',
+          phase: this.phase,
+        });
       return;
     }
     const envelope = this.codec.decodeAnswer(httpStatus, headers);
@@ -245,7 +261,8 @@
   onResponseEnd(): void {
     const {envelope} = this;
     if (this.resetMonitor.isResetting) {
-      this.finish({kind: 'broken', reason: 'reset within the answer'});
+      const {phase} = this;
+      this.finish({kind: 'broken', reason: 'reset within the answer', phase});
       return;
     }
     if (envelope === undefined) {
@@ -281,7 +298,11 @@
   ): void {
     const reason = (thrown as {readonly code?: string}).code ?? thrown.message;
     const wasSent = this.controller !== undefined;
-    this.finish({kind: wasSent ? 'broken' : 'notSent', reason});
+    this.finish(
+      wasSent
+        ? {kind: 'broken', reason, phase: this.phase}
+        : {kind: 'notSent', reason},
+    );
   }
 
   private abort(result: SendResult): void {
--- a/src/services/dispatch/decideStep.ts
+++ b/src/services/dispatch/decideStep.ts
@@ -5,23 +5,18 @@
 import type * as connections from './UpstreamConnections.js';
 
 /** Why a request failed, and whether an upstream may have run it. */
-export type Failure =
-  | {
-      readonly kind: 'notRun';
-      readonly error: errors.ErrorKind;
-      readonly message: string;
-    }
-  | {
-      readonly kind: 'mayHaveRun';
-      readonly error: errors.ErrorKind;
-      readonly message: string;
-    };
+export interface Failure {
+  readonly kind: 'notRun' | 'mayHaveRun';
+  readonly error: errors.ErrorKind;
+  readonly message: string;
+  readonly phase: entry.RequestPhase;
+}
 
 /** What to do after an attempt to send a request. */
 export type Step =
   | {readonly kind: 'answered'; readonly answer: entry.EntryAnswer}
   /** The caller disconnected, so no answer is sent. */
-  | {readonly kind: 'abandoned'}
+  | {readonly kind: 'abandoned'; readonly phase: entry.RequestPhase}
   | {readonly kind: 'retry'; readonly failure: Failure}
   | {readonly kind: 'finish'; readonly failure: Failure};
 
@@ -30,6 +25,7 @@
   kind: 'notRun',
   error: 'upstreamShed',
   message: 'no time is left to run the request',
+  phase: 'placing',
 };
 
 /** Gets the failure of a quarantined request, under which `crashCount` upstreams in a row crashed. */
@@ -38,6 +34,7 @@
     kind: 'mayHaveRun',
     error: 'upstreamFailed',
     message: `quarantined: upstreams crashed while they had the request, ${crashCount} in a row`,
+    phase: 'placing',
   };
 }
 
@@ -52,61 +49,71 @@
     case 'answered':
       return {kind: 'answered', answer: result.answer};
     case 'shed':
-      return retry('notRun', 'upstreamShed', `${upstreamId} was full`);
+      return retry({
+        kind: 'notRun',
+        error: 'upstreamShed',
+        message: `${upstreamId} was full`,
+        phase: 'atUpstream',
+      });
     case 'misdirected':
-      return retry(
-        'notRun',
-        'noUpstream',
-        `${upstreamId} is no longer at its address`,
-      );
+      return retry({
+        kind: 'notRun',
+        error: 'noUpstream',
+        message: `${upstreamId} is no longer at its address`,
+        phase: 'atUpstream',
+      });
     case 'notSent':
-      return retry(
-        'notRun',
-        'noUpstream',
-        `${upstreamId} could not be reached: ${result.reason}`,
-      );
+      return retry({
+        kind: 'notRun',
+        error: 'noUpstream',
+        message: `${upstreamId} could not be reached: ${result.reason}`,
+        phase: 'connecting',
+      });
     case 'withheld':
-      return retry(
-        'notRun',
-        'noUpstream',
-        `${upstreamId} stopped accepting requests`,
-      );
+      return retry({
+        kind: 'notRun',
+        error: 'noUpstream',
+        message: `${upstreamId} stopped accepting requests`,
+        phase: 'connecting',
+      });
     case 'broken':
-      return getStepAfterPossibleRun(
-        mayRetry,
-        `the connection to ${upstreamId} broke: ${result.reason}`,
-      );
+      return getStepAfterPossibleRun(mayRetry, {
+        kind: 'mayHaveRun',
+        error: 'upstreamFailed',
+        message: `the connection to ${upstreamId} broke: ${result.reason}`,
+        phase: result.phase,
+      });
     case 'garbled':
-      return getStepAfterPossibleRun(
-        mayRetry,
-        `${upstreamId} sent a response that does not belong to the request`,
-      );
+      return getStepAfterPossibleRun(mayRetry, {
+        kind: 'mayHaveRun',
+        error: 'upstreamFailed',
+        message: `${upstreamId} sent a response that does not belong to the request`,
+        phase: 'atUpstream',
+      });
     case 'timedOut':
-      return finish('deadlineExceeded', `${upstreamId} did not answer in time`);
+      return {
+        kind: 'finish',
+        failure: {
+          kind: 'mayHaveRun',
+          error: 'deadlineExceeded',
+          message: `${upstreamId} did not answer in time`,
+          phase: result.phase,
+        },
+      };
     case 'abandoned':
-      return {kind: 'abandoned'};
+      return {kind: 'abandoned', phase: result.phase};
     default:
       return errors.throwUnreachable(result);
   }
 }
 
-function retry(
-  kind: Failure['kind'],
-  error: errors.ErrorKind,
-  message: string,
-): Step {
-  return {kind: 'retry', failure: {kind, error, message}};
-}
-
-function finish(error: errors.ErrorKind, message: string): Step {
-  return {kind: 'finish', failure: {kind: 'mayHaveRun', error, message}};
+function retry(failure: Failure): Step {
+  return {kind: 'retry', failure};
 }
 
 /** Gets the step after an attempt that may have run the request: only an idempotent request is retried. */
-function getStepAfterPossibleRun(mayRetry: boolean, message: string): Step {
-  return mayRetry
-    ? retry('mayHaveRun', 'upstreamFailed', message)
-    : finish('upstreamFailed', message);
+function getStepAfterPossibleRun(mayRetry: boolean, failure: Failure): Step {
+  return {kind: mayRetry ? 'retry' : 'finish', failure};
 }
 
 /** Gets the failure to report: one after which the request may have run takes precedence over a later one. */
@@ -127,12 +134,14 @@
         kind: 'notRun',
         error: 'noUpstream',
         message: 'no upstream accepts the request',
+        phase: 'placing',
       };
     case 'full':
       return {
         kind: 'notRun',
         error: 'upstreamShed',
         message: 'the upstreams cannot answer in time',
+        phase: 'placing',
       };
   }
 }
--- a/src/services/entry/CallerExchange.ts
+++ b/src/services/entry/CallerExchange.ts
@@ -7,15 +7,21 @@
   private readonly connection: httpService.CallerConnection;
   private readonly response: http.ServerResponse;
   private readonly controller: AbortController;
+  private readonly onUnsent: () => void;
 
-  /** @param response The HTTP response that the answer is written to. */
+  /**
+   * @param response The HTTP response that the answer is written to.
+   * @param onUnsent Called when the connection closes after the answer was written but before all of it was sent.
+   */
   constructor(
     connection: httpService.CallerConnection,
     response: http.ServerResponse,
+    onUnsent: () => void,
   ) {
     this.connection = connection;
     this.response = response;
     this.controller = connection.addRequest();
+    this.onUnsent = onUnsent;
   }
 
   /** Aborted when the caller disconnects before its answer is written. */
@@ -74,6 +80,8 @@
   /** Marks the request as answered. Returns whether an answer can still be written. */
   private endRequest(): boolean {
     this.connection.endRequest(this.controller);
-    return !this.response.destroyed && !this.response.headersSent;
+    if (this.response.destroyed || this.response.headersSent) return false;
+    this.connection.addAnswer(this.response, this.onUnsent);
+    return true;
   }
 }
--- a/src/services/entry/EntryFlow.ts
+++ b/src/services/entry/EntryFlow.ts
@@ -9,11 +9,12 @@
 export type EntryResult =
   | {readonly kind: 'answered'; readonly answer: entry.EntryAnswer}
   /** The caller disconnected, so no answer is sent. */
-  | {readonly kind: 'abandoned'}
+  | {readonly kind: 'abandoned'; readonly phase: entry.RequestPhase}
   | {
       readonly kind: 'failed';
       readonly error: errors.ErrorKind;
       readonly message: string;
+      readonly phase: entry.RequestPhase;
 
       /** Earliest monotonic time in milliseconds at which the caller should retry; undefined when unknown. */
       readonly retryAtMs: number | undefined;
@@ -51,7 +52,7 @@
   /** Applies the rate limit and load shedding to a granted request, then dispatches it to an upstream. */
   async run(granted: GrantedEntry): Promise<EntryResult> {
     const {request, route, organisation, abandoned} = granted;
-    if (abandoned.aborted) return {kind: 'abandoned'};
+    if (abandoned.aborted) return {kind: 'abandoned', phase: 'reading'};
     if (organisation !== undefined) {
       const admission = await this.shares.ask<sharesService.ShareResult>(
         reply => ({
@@ -65,7 +66,7 @@
         case 'granted':
           break;
         case 'abandoned':
-          return admission;
+          return {kind: 'abandoned', phase: 'awaitingToken'};
         case 'refused':
           return {
             kind: 'failed',
@@ -74,17 +75,19 @@
               organisation.organisationId,
               admission,
             ),
+            phase: 'awaitingToken',
             retryAtMs: admission.retryAtMs,
           };
       }
     }
-    if (abandoned.aborted) return {kind: 'abandoned'};
+    if (abandoned.aborted) return {kind: 'abandoned', phase: 'awaitingToken'};
     // Load is shed after the rate limits, so that organisations over their limit don't crowd out the others.
     if (!this.shedder.shouldAdmit())
       return {
         kind: 'failed',
         error: 'overloaded',
         message: 'this VM is behind with its requests',
+        phase: 'awaitingToken',
         retryAtMs: this.shedder.getRetryAtMs(),
       };
     const deadlineMs = getDeadlineMs(request, route);
@@ -100,12 +103,12 @@
       case 'abandoned':
         return outcome;
       case 'notRun': {
-        const {error, message, retryAtMs} = outcome;
-        return {kind: 'failed', error, message, retryAtMs};
+        const {error, message, phase, retryAtMs} = outcome;
+        return {kind: 'failed', error, message, phase, retryAtMs};
       }
       case 'mayHaveRun': {
-        const {error, message} = outcome;
-        return {kind: 'failed', error, message, retryAtMs: undefined};
+        const {error, message, phase} = outcome;
+        return {kind: 'failed', error, message, phase, retryAtMs: undefined};
       }
     }
   }
--- a/src/services/entry/EntryTask.ts
+++ b/src/services/entry/EntryTask.ts
@@ -7,10 +7,12 @@
 import * as base from '../base/index.js';
 import * as httpService from '../http/index.js';
 import * as knowledgeService from '../knowledge/KnowledgeMessage.js';
+import type * as logs from '../logs/LogMessage.js';
 import * as membersService from '../members/MembersMessage.js';
 import * as exchanges from './CallerExchange.js';
 import type * as messages from './EntryMessage.js';
 import * as flows from './EntryFlow.js';
+import * as ends from './getEndFields.js';
 import * as shedders from './LoadShedder.js';
 import * as delays from './LoopDelayMonitor.js';
 
@@ -69,6 +71,7 @@
   private flow: flows.EntryFlow | undefined;
   private hasUpstreams = false;
   private lifecycle: decisions.Lifecycle = {kind: 'running'};
+  private stoppingSinceMs: number | undefined;
 
   /** @param options The callers' listen address, their codec and the bounds of the process. */
   constructor(options: EntryOptions) {
@@ -126,6 +129,7 @@
       nowMs + DEREGISTRATION_DELAY_MS,
       closesAtMs,
     );
+    this.stoppingSinceMs = nowMs;
     this.lifecycle = {kind: 'stopping', steersAwayUntilMs, closesAtMs};
     this.getService(membersService.MEMBERS).post({kind: 'leave'});
     await this.waitUntil(steersAwayUntilMs);
@@ -133,7 +137,7 @@
     this.acceptQueueMonitor.close();
     const closed = this.listener.close();
     await Promise.race([closed, this.waitUntil(closesAtMs)]);
-    this.listener.closeNow();
+    this.log('info', 'connectionsClosed', {...this.listener.closeNow()});
   }
 
   /** Gets how long a stop may take before the remaining connections are closed, in milliseconds. */
@@ -230,14 +234,17 @@
     incoming: http.IncomingMessage,
     response: http.ServerResponse,
   ): Promise<void> {
+    const readAtMs = this.nowMs();
     const arrivedAtMs = Math.min(
       this.getEarliestArrivalMs(),
       this.acceptQueueMonitor.getConnectionArrivalMs(incoming.socket) ??
         Infinity,
     );
     const connection = this.connections.get(incoming.socket);
-    const exchange = new exchanges.CallerExchange(connection, response);
     const envelope = this.options.codec.decodeRequest(incoming.rawHeaders);
+    const exchange = new exchanges.CallerExchange(connection, response, () =>
+      this.recordUnsent(envelope.requestId, response),
+    );
     const head: entry.EntryRequestHead = {
       requestId: envelope.requestId,
       method: incoming.method ?? 'GET',
@@ -247,6 +254,7 @@
       key: envelope.key,
       objectKey: envelope.objectKey,
       arrivedAtMs,
+      readAtMs,
       callerDeadlineMs:
         arrivedAtMs + (envelope.remainingMs ?? DEFAULT_CALLER_TIMEOUT_MS),
     };
@@ -255,10 +263,11 @@
       this.writeResult(exchange, head, result);
     } catch (thrown) {
       const error = errors.toError(thrown);
-      this.writeFailure(exchange, head.requestId, {
+      this.writeFailure(exchange, head, {
         kind: 'failed',
         error: error.kind,
         message: error.message,
+        phase: 'reading',
         retryAtMs:
           error.kind === 'overloaded' ? this.shedder.getRetryAtMs() : undefined,
       });
@@ -345,6 +354,7 @@
         kind: 'failed',
         error: 'notFresh',
         message: 'no configuration is known yet',
+        phase: 'reading',
         retryAtMs: this.nowMs() + UNREADY_RETRY_DELAY_MS,
       };
     const decision = decisions.decideEntry(this.entryIndex, head, this.nowMs());
@@ -353,6 +363,7 @@
         kind: 'failed',
         error: decision.error,
         message: decision.message,
+        phase: 'reading',
         retryAtMs: this.nowMs() + UNREADY_RETRY_DELAY_MS,
       };
     const {execution} = decision.route;
@@ -367,6 +378,7 @@
         kind: 'failed',
         error: 'stopping',
         message: 'this VM stops before the request is certain to be answered',
+        phase: 'reading',
         // Other VMs serve already now.
         retryAtMs: this.nowMs(),
       };
@@ -387,7 +399,7 @@
 
   private writeResult(
     exchange: exchanges.CallerExchange,
-    request: entry.EntryRequestHead,
+    head: entry.EntryRequestHead,
     result: flows.EntryResult,
   ): void {
     switch (result.kind) {
@@ -395,19 +407,23 @@
         const {answer} = result;
         this.count('requests_answered');
         this.log('debug', 'requestServed', () => ({
-          request: request.requestId,
+          request: head.requestId,
           upstream: answer.upstreamId,
           status: answer.httpStatus,
-          tookMs: Math.round(this.nowMs() - request.arrivedAtMs),
+          tookMs: Math.round(this.nowMs() - head.arrivedAtMs),
         }));
-        this.writeAnswer(exchange, request.requestId, answer);
+        this.writeAnswer(exchange, head, answer);
         return;
       }
       case 'abandoned':
         this.count('requests_abandoned');
+        this.log('info', 'requestAbandoned', {
+          request: head.requestId,
+          ...this.getEndFields(exchange, head, result.phase),
+        });
         return;
       case 'failed':
-        this.writeFailure(exchange, request.requestId, result);
+        this.writeFailure(exchange, head, result);
         return;
       default:
         errors.throwUnreachable(result);
@@ -417,7 +433,7 @@
   /** Writes an answer, delimited as the upstream delimited it: by its length or by closing the connection. */
   private writeAnswer(
     exchange: exchanges.CallerExchange,
-    requestId: string,
+    head: entry.EntryRequestHead,
     answer: entry.EntryAnswer,
   ): void {
     const {httpStatus, headers, body} = answer;
@@ -428,10 +444,11 @@
       case 'connection':
         if (!exchange.isLastRequest)
           // Closing the connection would drop the answers of requests behind it that have run or are running.
-          this.writeFailure(exchange, requestId, {
+          this.writeFailure(exchange, head, {
             kind: 'failed',
             error: 'upstreamFailed',
             message: `${answer.upstreamId} gave an answer without a length`,
+            phase: 'receivingAnswer',
             retryAtMs: undefined,
           });
         else exchange.sendCloseDelimited(answer);
@@ -443,10 +460,10 @@
 
   private writeFailure(
     exchange: exchanges.CallerExchange,
-    requestId: string,
+    head: entry.EntryRequestHead,
     failure: Extract<flows.EntryResult, {kind: 'failed'}>,
   ): void {
-    const {error, message, retryAtMs} = failure;
+    const {error, message, phase, retryAtMs} = failure;
     const {isNotRun, httpStatus} = errors.ERROR_ANSWERS[error];
     this.count(isNotRun ? 'requests_refused' : 'requests_failed');
     if (error === 'rateLimited') this.count('requests_refused_rate');
@@ -456,10 +473,11 @@
         ? undefined
         : Math.max(0, retryAtMs - this.nowMs());
     this.log('info', 'requestRefused', {
-      request: requestId,
+      request: head.requestId,
       error,
       message,
       version: this.configuration?.version ?? 0,
+      ...this.getEndFields(exchange, head, phase),
       ...(waitMs === undefined ? {} : {retryAfterMs: Math.round(waitMs)}),
     });
     const headers =
@@ -471,6 +489,31 @@
     exchange.send(httpStatus, headers, EMPTY_BODY, shouldClose);
   }
 
+  private getEndFields(
+    exchange: exchanges.CallerExchange,
+    head: entry.EntryRequestHead,
+    phase: entry.RequestPhase,
+  ): logs.LogFields {
+    const {stoppingSinceMs} = this;
+    return ends.getEndFields(
+      {head, exchange, phase, stoppingSinceMs},
+      this.nowMs(),
+    );
+  }
+
+  /** Records an answer that was written, but not sent before its connection closed. */
+  private recordUnsent(requestId: string, response: http.ServerResponse): void {
+    const {stoppingSinceMs} = this;
+    this.count('answers_unsent');
+    this.log('info', 'answerUnsent', {
+      request: requestId,
+      status: response.statusCode,
+      ...(stoppingSinceMs === undefined
+        ? {}
+        : {sinceStopMs: Math.round(this.nowMs() - stoppingSinceMs)}),
+    });
+  }
+
   private waitUntil(atMs: number): Promise<void> {
     return new Promise(resolve => {
       const delayMs = Math.max(0, atMs - this.nowMs());
--- a/src/services/http/CallerConnection.ts
+++ b/src/services/http/CallerConnection.ts
@@ -1,3 +1,4 @@
+import type * as http from 'node:http';
 import type * as net from 'node:net';
 
 /** The requests of a caller's connection at the time that the caller disconnected. */
@@ -14,6 +15,7 @@
   private readonly getNowMs: () => number;
   private readonly onDisconnect: (disconnect: CallerDisconnect) => void;
   private readonly unanswered = new Set<AbortController>();
+  private readonly unsent = new Map<http.ServerResponse, () => void>();
   private disconnectedAt: number | undefined;
   private answeredCount = 0;
   private lastRequest: AbortController | undefined;
@@ -33,7 +35,11 @@
     const handleDisconnect = () => this.handleDisconnect();
     // Listens on the socket because a response that is queued behind another has no socket and emits no close event.
     socket.once('end', handleDisconnect);
-    socket.once('close', handleDisconnect);
+    socket.once('close', () => {
+      this.handleDisconnect();
+      for (const onUnsent of this.unsent.values()) onUnsent();
+      this.unsent.clear();
+    });
   }
 
   /** Monotonic time in milliseconds at which the caller disconnected; undefined while it is connected. */
@@ -74,6 +80,16 @@
     if (this.unanswered.delete(controller)) this.answeredCount += 1;
   }
 
+  /**
+   * Adds an answer that is about to be written.
+   *
+   * @param onUnsent Called when the connection closes before all of the answer was sent.
+   */
+  addAnswer(response: http.ServerResponse, onUnsent: () => void): void {
+    this.unsent.set(response, onUnsent);
+    response.once('finish', () => this.unsent.delete(response));
+  }
+
   private handleDisconnect(): void {
     if (this.disconnectedAt !== undefined) return;
     this.disconnectedAt = this.getNowMs();
--- a/src/services/http/HttpListener.ts
+++ b/src/services/http/HttpListener.ts
@@ -12,10 +12,19 @@
  */
 const MAX_BACKLOG_CONNECTIONS = 128;
 
+/** The connections that a listener closed at once. */
+export interface ClosedConnections {
+  readonly connectionCount: number;
+
+  /** The bytes that had been written to the connections and not been sent. */
+  readonly unsentBytes: number;
+}
+
 /** An HTTP server that can close after the requests in progress have finished. */
 export class HttpListener {
   private readonly server: http.Server;
   private readonly address: settings.ListenAddress;
+  private readonly sockets = new Set<net.Socket>();
   private isClosing = false;
 
   /** @param handler Answers each request. */
@@ -34,6 +43,10 @@
     // Leaves it to the handler to ask for a body, which it need not do for a request that it refuses.
     this.server.on('checkContinue', handleRequest);
     this.server.keepAliveTimeout = DEFAULT_IDLE_TIMEOUT_MS;
+    this.server.on('connection', socket => {
+      this.sockets.add(socket);
+      socket.once('close', () => this.sockets.delete(socket));
+    });
   }
 
   /** Starts to listen. @throws Error when the address is in use. */
@@ -72,10 +85,14 @@
     this.server.headersTimeout = headersTimeoutMs;
   }
 
-  /** Stops accepting connections and closes all that are open. */
-  closeNow(): void {
+  /** Stops accepting connections and closes all that are open. Returns how much that cut off. */
+  closeNow(): ClosedConnections {
+    let unsentBytes = 0;
+    for (const socket of this.sockets) unsentBytes += socket.writableLength;
+    const closed = {connectionCount: this.sockets.size, unsentBytes};
     this.server.close();
     this.server.closeAllConnections();
+    return closed;
   }
 
   /** Makes each further answer close its connection, so that callers disconnect. */
--- a/src/services/metrics/MetricsMessage.ts
+++ b/src/services/metrics/MetricsMessage.ts
@@ -23,6 +23,7 @@
   | 'connections_opened'
   | 'answers_discarded'
   | 'answers_undelivered'
+  | 'answers_unsent'
   | 'callers_left'
   | 'connections_accepted'
   | 'requests_abandoned'
--- a/test/services/dispatch/UpstreamConnections.test.ts
+++ b/test/services/dispatch/UpstreamConnections.test.ts
@@ -29,6 +29,7 @@
   body: new Uint8Array(),
   key: '',
   objectKey: '',
+  readAtMs: 0,
   arrivedAtMs: 0,
   callerDeadlineMs: 10_000,
 };
--- a/test/services/entry/EntryFlow.test.ts
+++ b/test/services/entry/EntryFlow.test.ts
@@ -38,6 +38,7 @@
               message.reply({
                 kind: 'mayHaveRun',
                 error: 'upstreamFailed',
+                phase: 'atUpstream',
                 message: 'sent',
               });
           });
