--- a/standins/store/FakeStore.ts
+++ b/standins/store/FakeStore.ts
@@ -79,10 +79,11 @@
     return `${host}:${port}`;
   }
 
-  /** Stops listening and closes all connections. */
+  /** Stops listening, closes all connections and ends the waits for changes. */
   close(): void {
     this.server.close();
     this.server.closeAllConnections();
+    this.changeEmitter.emit('change');
   }
 
   /** Gets the number of requests received. */
