--- a/test/platform/EntryFleet.ts
+++ b/test/platform/EntryFleet.ts
@@ -235,6 +235,13 @@
     };
   }
 
+  /** Sends SIGTERM to a VM's process and waits until its stop has begun. */
+  async stop(index: number): Promise<void> {
+    const {process} = this.vms[index];
+    process.signal('SIGTERM');
+    await this.waitFor(() => process.getLog().includes('event=daemonStopping'));
+  }
+
   /** Returns a VM's current process. */
   getProcess(index: number): processes.ManagedProcess {
     return this.vms[index].process;
@@ -296,9 +303,16 @@
     return body.Addresses;
   }
 
-  /** Opens a connection to a VM that allows the test to pipeline requests. */
-  async connect(index: number): Promise<callers.RawCaller> {
-    return await callers.RawCaller.connect(this.vms[index].host, CALLERS_PORT);
+  /** Opens a connection to a VM that allows the test to pipeline requests, over a link with the given rate. */
+  async connect(
+    index: number,
+    receivedBytesPerSecond?: number,
+  ): Promise<callers.RawCaller> {
+    return await callers.RawCaller.connect(
+      this.vms[index].host,
+      CALLERS_PORT,
+      receivedBytesPerSecond,
+    );
   }
 
   /** Sends a caller's request to a VM. */
--- a/test/platform/RawCaller.ts
+++ b/test/platform/RawCaller.ts
@@ -1,34 +1,54 @@
 import * as net from 'node:net';
 import * as sockets from '../../standins/proxy/resetSocket.js';
 import * as streams from '../../standins/store/writeUntilClosed.js';
+import * as answers from './parseAnswers.js';
 
 /** How long the caller waits for an answer unless a test says otherwise. */
 const DEFAULT_REMAINING_MS = 3000;
 
+const MS_PER_SECOND = 1000;
+
 const SMALL_CHUNKS = Buffer.from('1\r\nz\r\n'.repeat(10_000));
 
 /** A caller that writes HTTP/1.1 directly to a socket, so that it can pipeline requests on one connection. */
 export class RawCaller {
   private readonly socket: net.Socket;
   private received = '';
+  private receivedBytesPerSecond: number;
 
-  private constructor(socket: net.Socket) {
+  private constructor(socket: net.Socket, receivedBytesPerSecond: number) {
     this.socket = socket;
+    this.receivedBytesPerSecond = receivedBytesPerSecond;
     // Tests provoke connection errors; without a listener for them the test process would crash.
     socket.on('error', () => undefined);
     socket.on('data', chunk => {
       this.received += chunk.toString('latin1');
+      this.delayReading(chunk.length);
     });
   }
 
-  /** Connects to a VM's callers' listener. @throws Error when the connection fails. */
-  static async connect(host: string, port: number): Promise<RawCaller> {
+  /**
+   * Connects to a VM's callers' listener.
+   *
+   * @param receivedBytesPerSecond The rate of the caller's link; bytes beyond it stay in the VM's buffers.
+   * @throws Error when the connection fails.
+   */
+  static async connect(
+    host: string,
+    port: number,
+    receivedBytesPerSecond = Infinity,
+  ): Promise<RawCaller> {
     const socket = net.connect(port, host);
     await new Promise<void>((resolve, reject) => {
       socket.once('connect', resolve);
       socket.once('error', reject);
     });
-    return new RawCaller(socket);
+    return new RawCaller(socket, receivedBytesPerSecond);
+  }
+
+  /** Changes the rate at which the caller receives bytes. */
+  setReceiveRate(bytesPerSecond: number): void {
+    this.receivedBytesPerSecond = bytesPerSecond;
   }
 
   /** Sends one GET request for each request ID without waiting for answers. */
@@ -109,6 +129,23 @@
     );
   }
 
+  /** Returns the answers received so far, the last of them possibly in part. */
+  getAnswers(): readonly answers.ReceivedAnswer[] {
+    return answers.parseAnswers(this.received);
+  }
+
+  /** Returns the identifiers of the requests to which complete answers of an upstream have been received so far. */
+  getServedIds(): readonly string[] {
+    return this.getAnswers()
+      .filter(answer => answer.isComplete && answer.isFromUpstream)
+      .map(answer => answer.requestId);
+  }
+
+  /** Whether any bytes have been received. */
+  get hasReceived(): boolean {
+    return this.received !== '';
+  }
+
   /** Ends the connection with a FIN. */
   close(): void {
     this.socket.end();
@@ -118,6 +155,16 @@
   reset(): void {
     sockets.resetSocket(this.socket);
   }
+
+  /** Stops reading for as long as the link takes to transmit `byteCount` bytes. */
+  private delayReading(byteCount: number): void {
+    if (this.receivedBytesPerSecond === Infinity) return;
+    this.socket.pause();
+    setTimeout(
+      () => this.socket.resume(),
+      (byteCount / this.receivedBytesPerSecond) * MS_PER_SECOND,
+    );
+  }
 }
 
 interface RequestHead {
