--- a/standins/store/FakeUpstream.ts
+++ b/standins/store/FakeUpstream.ts
@@ -75,6 +75,9 @@
   /** The service time of a request in milliseconds, unless the request sets its own. */
   serviceMs = 2;
 
+  /** The time in milliseconds that a request takes to the upstream, and an answer back. */
+  linkDelayMs = 0;
+
   /** The number of concurrent requests that the upstream advertises; it isn't enforced. */
   slotCount = 8;
 
@@ -200,6 +203,7 @@
         .end();
       return;
     }
+    if (!(await this.waitForLink(response))) return;
     this.runs.push({
       requestId,
       headers: request.headers,
@@ -222,7 +226,7 @@
       response,
       isInTime ? serviceMs : deadlineMs,
     );
-    if (isDone)
+    if (isDone && (await this.waitForLink(response)))
       this.sendAnswer(request, response, requestId, isInTime ? 200 : 504);
     this.activeRequestIds.delete(requestId);
     this.endedAtMsById.set(requestId, Date.now());
@@ -242,6 +246,12 @@
     });
   }
 
+  /** Waits for the delay of the link; returns false when the connection closes first. */
+  private async waitForLink(response: http.ServerResponse): Promise<boolean> {
+    if (this.linkDelayMs === 0) return true;
+    return await this.waitForServiceTime(response, this.linkDelayMs);
+  }
+
   private sendUnframedAnswer(
     socket: net.Socket,
     requestId: string,
