--- a/test/platform/EntryFleet.ts
+++ b/test/platform/EntryFleet.ts
@@ -210,22 +210,27 @@
   /** Starts VMs, alternating between the failure domains, and waits until they are ready. */
   async addVms(count: number): Promise<void> {
     const from = this.vms.length;
-    for (let index = from; index < from + count; index++) {
-      const host = getHost(index);
-      const settingsFile = path.join(this.folder, `vm-${index}.conf`);
-      const [failureDomain, region] =
-        REGIONS_BY_FAILURE_DOMAIN[index % REGIONS_BY_FAILURE_DOMAIN.length];
-      fs.writeFileSync(
-        settingsFile,
-        this.getSettings(`vm-${index}`, host, failureDomain, region),
-      );
-      const process = startProcess(this.options, settingsFile);
-      this.vms.push({host, settingsFile, process});
-    }
+    for (let index = from; index < from + count; index++) this.startVm();
     for (let index = from; index < from + count; index++)
       await this.waitForReady(index);
   }
 
+  /** Starts another VM without waiting until it is ready; returns its index. */
+  startVm(): number {
+    const index = this.vms.length;
+    const host = getHost(index);
+    const settingsFile = path.join(this.folder, `vm-${index}.conf`);
+    const [failureDomain, region] =
+      REGIONS_BY_FAILURE_DOMAIN[index % REGIONS_BY_FAILURE_DOMAIN.length];
+    fs.writeFileSync(
+      settingsFile,
+      this.getSettings(`vm-${index}`, host, failureDomain, region),
+    );
+    const process = startProcess(this.options, settingsFile);
+    this.vms.push({host, settingsFile, process});
+    return index;
+  }
+
   /** Starts a VM's process again after it has exited. */
   restart(index: number): void {
     const vm = this.vms[index];
