Close connections without losing answers that are on their way

What callers saw: around a planned stop, answers that they were still reading ended in a reset; so did requests behind them on the same connection.

Cause: Node.js counts a connection as idle once the last answer written to it is complete, even if most of it waits to be sent or other requests wait behind it, and it destroys a connection right after the answer that announces the close. Bytes of the caller that are still unread then reset the connection, and a reset discards what the caller has not read.

--- a/src/services/http/HttpListener.ts
+++ b/src/services/http/HttpListener.ts
@@ -1,7 +1,9 @@
-import * as http from 'node:http';
+import type * as http from 'node:http';
 import * as net from 'node:net';
 import type * as settings from '../../codecs/settings/index.js';
 import * as rest from './endBeforeBody.js';
+import * as servers from './HttpServer.js';
+import * as readTimeouts from './ReadTimeout.js';
 
 /** How long an idle connection is kept open unless the caller limits set another time. */
 const DEFAULT_IDLE_TIMEOUT_MS = 30_000;
@@ -20,17 +22,16 @@
   readonly unsentBytes: number;
 }
 
-/** An HTTP server that can close after the requests in progress have finished. */
+/** A listener whose connections close without losing answers. */
 export class HttpListener {
-  private readonly server: http.Server;
+  private readonly server: servers.HttpServer;
   private readonly address: settings.ListenAddress;
-  private readonly sockets = new Set<net.Socket>();
   private isClosing = false;
 
   /** @param handler Answers each request. */
   constructor(address: settings.ListenAddress, handler: http.RequestListener) {
     this.address = address;
-    const handleRequest: http.RequestListener = (request, response) => {
+    this.server = new servers.HttpServer((request, response) => {
       if (this.isClosing) response.setHeader('connection', 'close');
       // Nobody needs the rest of a body after the answer, and parsing it would take processor time from others.
       response.once('finish', () => {
@@ -38,15 +39,8 @@
           rest.discardRest(request, () => request.socket.destroy());
       });
       handler(request, response);
-    };
-    this.server = http.createServer(handleRequest);
-    // Leaves it to the handler to ask for a body, which it need not do for a request that it refuses.
-    this.server.on('checkContinue', handleRequest);
-    this.server.keepAliveTimeout = DEFAULT_IDLE_TIMEOUT_MS;
-    this.server.on('connection', socket => {
-      this.sockets.add(socket);
-      socket.once('close', () => this.sockets.delete(socket));
     });
+    this.server.keepAliveTimeout = DEFAULT_IDLE_TIMEOUT_MS;
   }
 
   /** Starts to listen. @throws Error when the address is in use. */
@@ -85,28 +79,39 @@
     this.server.headersTimeout = headersTimeoutMs;
   }
 
-  /** Stops accepting connections and closes all that are open. Returns how much that cut off. */
-  closeNow(): ClosedConnections {
-    let unsentBytes = 0;
-    for (const socket of this.sockets) unsentBytes += socket.writableLength;
-    const closed = {connectionCount: this.sockets.size, unsentBytes};
-    this.server.close();
-    this.server.closeAllConnections();
-    return closed;
-  }
-
   /** Makes each further answer close its connection, so that callers disconnect. */
   startClosing(): void {
     this.isClosing = true;
   }
 
-  /** Stops accepting connections and closes after the requests in progress have finished. */
+  /** Stops accepting connections, and closes each one once the answers to its requests have been sent. */
   async close(): Promise<void> {
     this.isClosing = true;
-    const closed = new Promise<void>(resolve =>
-      this.server.close(() => resolve()),
+    await new Promise<void>(resolve => this.server.close(() => resolve()));
+  }
+
+  /** Closes like `close`, and all that is still open after a timeout in milliseconds. Returns what was cut off. */
+  async closeWithin(timeoutMs: number): Promise<ClosedConnections> {
+    const timeout = new readTimeouts.ReadTimeout(timeoutMs);
+    await Promise.race([
+      this.close(),
+      new Promise<void>(resolve =>
+        timeout.signal.addEventListener('abort', () => resolve()),
+      ),
+    ]);
+    timeout.cancel();
+    return this.closeNow();
+  }
+
+  /** Stops accepting connections and closes all that are open. Returns how much that cut off. */
+  closeNow(): ClosedConnections {
+    const open = this.server.getOpenConnections();
+    const unsentBytes = open.reduce(
+      (sum, {unsentBytes}) => sum + unsentBytes,
+      0,
     );
-    this.server.closeIdleConnections();
-    await closed;
+    this.server.close();
+    this.server.closeAllConnections();
+    return {connectionCount: open.length, unsentBytes};
   }
 }
