Await the answer of an upstream that ends a request at its deadline

What users saw: after SIGTERM a request was given up while its upstream was at work on it (LOST).

Cause: a VM gave an upstream the time that was left, counted from the earliest moment at which the request can have arrived, and stopped waiting after the same time. The upstream counts from when the request reaches it, so that the VM was always first and answered 504 itself. On a VM that has just been started while others stop, connections wait in the accept queue for up to half a second; a request that a caller pipelines on such a connection is taken to be as old as the connection, and was given up several hundred milliseconds before its caller's time was over.

The VM now waits 150 ms longer than the time that it gives to the upstream, counted from when the request is sent, so that the upstream's own answer ends the request. An upstream that answers 504 is avoided as one that does not answer.

--- a/src/services/dispatch/DispatchTask.ts
+++ b/src/services/dispatch/DispatchTask.ts
@@ -32,6 +32,8 @@
 /** Shortest time between two log lines about unreadable notices of upstreams. */
 const UNREADABLE_NOTICE_LOG_INTERVAL_MS = 60_000;
 
+const HTTP_GATEWAY_TIMEOUT = 504;
+
 /** The length in characters to which a logged header value is cut. */
 const MAX_LOGGED_VALUE_LENGTH = 40;
 
@@ -509,7 +511,13 @@
   ): void {
     switch (result.kind) {
       case 'answered':
-        state.addAnswer(result.load, nowMs);
+        // The upstream gave up, so that others are likely to answer sooner.
+        if (result.answer.httpStatus === HTTP_GATEWAY_TIMEOUT) {
+          state.addFailure(nowMs);
+          this.logAvoided(state.upstreamId, 'timedOut');
+        } else {
+          state.addAnswer(result.load, nowMs);
+        }
         return;
       case 'shed':
         state.addShed(result.load, nowMs);
--- a/src/services/dispatch/UpstreamConnections.ts
+++ b/src/services/dispatch/UpstreamConnections.ts
@@ -10,6 +10,12 @@
 /** Idle connections are closed well before upstreams close them, so that few requests meet a closing connection. */
 const KEEP_ALIVE_TIMEOUT_MS = 4000;
 
+/**
+ * How long an answer is awaited beyond the time that the upstream was given: an upstream that is at work until then
+ * answers itself, and its answer takes two ways between regions.
+ */
+const ANSWER_MARGIN_MS = 150;
+
 /** How sending a request to one upstream ended. */
 export type SendResult =
   | {
@@ -47,7 +53,7 @@
   /** Alternating header names and values. */
   readonly headers: string[];
 
-  /** How long to wait for the answer, in milliseconds. */
+  /** The time in milliseconds that the headers give to the upstream. */
   readonly remainingMs: number;
 
   /** Whether the request needs a connection that no other request has used. */
@@ -163,7 +169,9 @@
   private readonly resetMonitor: httpService.ResetMonitor;
   private readonly memory: httpService.BodyMemory;
   private readonly settle: (result: SendResult) => void;
-  private readonly timer: httpService.ReadTimer;
+  private readonly onTimeout = () =>
+    this.abort({kind: 'timedOut', phase: this.phase});
+  private timer: httpService.ReadTimer;
   private readonly body = new httpService.BodyBuffer('answer');
   private interimCount = 0;
   private readonly onAbandoned = () =>
@@ -188,8 +196,9 @@
     this.resetMonitor = resetMonitor;
     this.memory = memory;
     this.settle = settle;
-    this.timer = new httpService.ReadTimer(outbound.remainingMs, () =>
-      this.abort({kind: 'timedOut', phase: this.phase}),
+    this.timer = new httpService.ReadTimer(
+      outbound.remainingMs,
+      this.onTimeout,
     );
     outbound.abandoned.addEventListener('abort', this.onAbandoned);
   }
@@ -215,7 +224,15 @@
   onRequestStart(controller: undici.Dispatcher.DispatchController): void {
     if (!this.outbound.isStillEligible()) this.finish({kind: 'withheld'});
     this.controller = controller;
-    if (this.isSettled) controller.abort(new Error('settled'));
+    if (this.isSettled) {
+      controller.abort(new Error('settled'));
+      return;
+    }
+    this.timer.cancel();
+    this.timer = new httpService.ReadTimer(
+      this.outbound.remainingMs + ANSWER_MARGIN_MS,
+      this.onTimeout,
+    );
   }
 
   onResponseStart(
