Answer requests that the end of the grace period cuts off

What callers saw: a request that was still in progress near the end of the grace period closed its connection, and took with it the answers of requests behind it that were complete. A process that was frozen then closed before it had read answers that had arrived meanwhile.

Requests in progress are now aborted 700 ms before the end and answered with a failure: as not run if none was sent, as unknown otherwise. Connections may send their answers until 300 ms before the end. A request is admitted only if its deadline passes 200 ms before the cut. The times of a stop count from the earliest moment at which the signal can have arrived. Requests that fail after they may have run are logged as requestFailed, since requestRefused lines crowd them out of the log's rate limit.

--- a/src/services/entry/CallerExchange.ts
+++ b/src/services/entry/CallerExchange.ts
@@ -2,6 +2,9 @@
 import type * as entry from '../../model/entry/index.js';
 import * as httpService from '../http/index.js';
 
+/** The reason with which requests are aborted that are cut off. */
+const CUT_OFF = Symbol('cutOff');
+
 /** One caller's request together with the HTTP response that answers it. */
 export class CallerExchange {
   private readonly connection: httpService.CallerConnection;
@@ -24,7 +27,7 @@
     this.onUnsent = onUnsent;
   }
 
-  /** Aborted when the caller disconnects before its answer is written. */
+  /** Aborted when the caller disconnects before its answer is written, and when the request is cut off. */
   get abandoned(): AbortSignal {
     return this.controller.signal;
   }
@@ -34,6 +37,16 @@
     return this.connection.disconnectedAtMs;
   }
 
+  /** Whether the request was cut off because the process stops. */
+  get isCutOff(): boolean {
+    return this.controller.signal.reason === CUT_OFF;
+  }
+
+  /** Aborts the request, which may still be answered with a failure. */
+  cutOff(): void {
+    this.controller.abort(CUT_OFF);
+  }
+
   /** Whether no request was received behind this one on the same connection. */
   get isLastRequest(): boolean {
     return this.connection.isLastRequest(this.controller);
--- a/src/services/entry/EntryTask.ts
+++ b/src/services/entry/EntryTask.ts
@@ -25,8 +25,14 @@
 /** How long a stopping process still accepts connections, so that callers have time to switch to other VMs. */
 const DEREGISTRATION_DELAY_MS = 3000;
 
-/** Part of the grace period that is reserved for closing the remaining connections. */
-const CLOSE_RESERVE_MS = 700;
+/** Part of the grace period, at its end, into which the deadline of no request may reach that is still admitted. */
+const DEADLINE_RESERVE_MS = 900;
+
+/** Part of the grace period, at its end, in which requests still in progress are cut off and the answers are sent. */
+const CUT_OFF_RESERVE_MS = 700;
+
+/** Part of the grace period, at its end, that is left to the services that stop after this one. */
+const CLOSE_RESERVE_MS = 300;
 
 /** Event loop and accept delays from this length on are logged, because they use up callers' time limits. */
 const MIN_LOGGED_DELAY_MS = 100;
@@ -62,6 +68,7 @@
       });
     },
   );
+  private readonly exchanges = new Set<exchanges.CallerExchange>();
   private readonly readBarrier = new httpService.ReadBarrier();
   private readonly bodyMemory = new httpService.BodyMemory('request');
   private loopDelayMonitor: delays.LoopDelayMonitor | undefined;
@@ -123,26 +130,32 @@
 
   /** Announces the stop to the other members, accepts callers for a while longer, finishes requests and closes. */
   protected override async onStop(): Promise<void> {
-    const nowMs = this.nowMs();
-    const closesAtMs = nowMs + this.getGraceMs();
+    const {gracePeriodMs} = this.options.bounds;
+    // The signal may have arrived while the event loop was late.
+    const sinceMs = this.getEarliestArrivalMs();
+    const getTimeBeforeEndMs = (reserveMs: number) =>
+      sinceMs + Math.max(0, gracePeriodMs - reserveMs);
+    const closesAtMs = getTimeBeforeEndMs(DEADLINE_RESERVE_MS);
     const steersAwayUntilMs = Math.min(
-      nowMs + DEREGISTRATION_DELAY_MS,
+      sinceMs + DEREGISTRATION_DELAY_MS,
       closesAtMs,
     );
-    this.stoppingSinceMs = nowMs;
+    this.stoppingSinceMs = sinceMs;
     this.lifecycle = {kind: 'stopping', steersAwayUntilMs, closesAtMs};
     this.getService(membersService.MEMBERS).post({kind: 'leave'});
     await this.waitUntil(steersAwayUntilMs);
     // No new connections are accepted from here on, so that all requests in progress can finish.
     this.acceptQueueMonitor.close();
     const closed = this.listener.close();
-    await Promise.race([closed, this.waitUntil(closesAtMs)]);
-    this.log('info', 'connectionsClosed', {...this.listener.closeNow()});
-  }
-
-  /** Gets how long a stop may take before the remaining connections are closed, in milliseconds. */
-  private getGraceMs(): number {
-    return Math.max(0, this.options.bounds.gracePeriodMs - CLOSE_RESERVE_MS);
+    const cutOffAtMs = getTimeBeforeEndMs(CUT_OFF_RESERVE_MS);
+    await Promise.race([closed, this.waitUntil(cutOffAtMs)]);
+    // Answers that arrived while the event loop was late are read first.
+    await this.readBarrier.wait();
+    for (const exchange of this.exchanges) exchange.cutOff();
+    const cutOff = await this.listener.closeWithin(
+      getTimeBeforeEndMs(CLOSE_RESERVE_MS) - this.nowMs(),
+    );
+    this.log('info', 'connectionsClosed', {...cutOff});
   }
 
   protected override receive(message: messages.EntryMessage): void {
@@ -258,6 +271,7 @@
       callerDeadlineMs:
         arrivedAtMs + (envelope.remainingMs ?? DEFAULT_CALLER_TIMEOUT_MS),
     };
+    this.exchanges.add(exchange);
     try {
       const result = await this.readAndRun(incoming, response, head, exchange);
       this.writeResult(exchange, head, result);
@@ -272,6 +286,7 @@
           error.kind === 'overloaded' ? this.shedder.getRetryAtMs() : undefined,
       });
     }
+    this.exchanges.delete(exchange);
     this.observe('request_ms', this.nowMs() - arrivedAtMs);
     this.recordUndelivered(exchange, head.requestId);
   }
@@ -421,6 +436,12 @@
           request: head.requestId,
           ...this.getEndFields(exchange, head, result.phase),
         });
+        if (exchange.isCutOff)
+          this.writeFailure(
+            exchange,
+            head,
+            getCutOffFailure(result.phase, this.nowMs()),
+          );
         return;
       case 'failed':
         this.writeFailure(exchange, head, result);
@@ -472,7 +493,7 @@
       retryAtMs === undefined
         ? undefined
         : Math.max(0, retryAtMs - this.nowMs());
-    this.log('info', 'requestRefused', {
+    this.log('info', isNotRun ? 'requestRefused' : 'requestFailed', {
       request: head.requestId,
       error,
       message,
@@ -523,3 +544,27 @@
 }
 
 const EMPTY_BODY = new Uint8Array();
+
+/** Gets the failure of a request that is still in progress near the end of the grace period. */
+function getCutOffFailure(
+  phase: entry.RequestPhase,
+  nowMs: number,
+): Extract<flows.EntryResult, {kind: 'failed'}> {
+  const failure = {
+    kind: 'failed',
+    message: 'this VM stops before the request is answered',
+    phase,
+  } as const;
+  switch (phase) {
+    case 'reading':
+    case 'awaitingToken':
+    case 'placing':
+    case 'connecting':
+      return {...failure, error: 'stopping', retryAtMs: nowMs};
+    case 'atUpstream':
+    case 'receivingAnswer':
+      return {...failure, error: 'upstreamFailed', retryAtMs: undefined};
+    default:
+      return errors.throwUnreachable(phase);
+  }
+}
--- a/src/services/logs/EventName.ts
+++ b/src/services/logs/EventName.ts
@@ -21,6 +21,7 @@
   | 'requestReleased'
   | 'requestAdmitted'
   | 'requestRefused'
+  | 'requestFailed'
   | 'requestAbandoned'
   | 'platformFailed'
   | 'storeLost'
