Stop after the start step in progress, and start nothing more

Cause: Kernel.stop stopped the services started so far while Kernel.start went on, and a service in the middle of its start was stopped before its start had ended. The daemon, in addition, listened for signals only once all services had started, so that SIGTERM during a start killed it.

The kernel's life cycle is now a union. A stop waits for the start step in progress, starts nothing more and stops what was started in reverse order; start says whether the services run or a stop came first, so that neither program announces its start after its stop. Repeated stops share one, and a service that fails to stop keeps no other one from stopping. The process exits with the code that a failed start has set.

--- a/src/kernel/services/Kernel.ts
+++ b/src/kernel/services/Kernel.ts
@@ -10,12 +10,38 @@
   readonly task: tasks.Task<never>;
 }
 
+/** The result of starting the services. */
+export type StartResult =
+  /** Every service has started. */
+  | {readonly kind: 'running'}
+  /** A stop began first: no further service was started. */
+  | {readonly kind: 'stopped'};
+
+/** How far the services are; `started` lists those to stop, in the order in which they were started. */
+type Lifecycle =
+  | {readonly kind: 'idle'}
+  | {
+      readonly kind: 'starting';
+      readonly started: readonly ServiceEntry[];
+
+      /** Settles when the last one of `started` has started or failed. */
+      readonly step: Promise<void>;
+    }
+  /** The start has ended, with the last service or with one that failed. */
+  | {readonly kind: 'started'; readonly started: readonly ServiceEntry[]}
+  | {
+      readonly kind: 'stopping';
+
+      /** Settles when all services have stopped. */
+      readonly stopped: Promise<void>;
+    };
+
 /** Starts each service after its dependencies, and stops the services in the reverse order. */
 export class Kernel implements directories.ServiceDirectory {
   private readonly clock: time.Clock;
   private readonly timers: time.Timers;
   private readonly entries = new Map<string, ServiceEntry>();
-  private startedEntries: ServiceEntry[] = [];
+  private lifecycle: Lifecycle = {kind: 'idle'};
 
   /**
    * @param clock The clock passed to every task.
@@ -58,20 +84,106 @@
     return address;
   }
 
-  /** Starts every service. @throws Error when dependencies form a cycle or are missing. */
-  async start(): Promise<void> {
-    for (const entry of this.getStartOrder()) {
-      this.startedEntries.push(entry);
-      const {clock, timers} = this;
-      await entry.task.start({services: this, clock, timers});
+  /**
+   * Starts every service, unless a stop begins meanwhile.
+   *
+   * @throws Error when dependencies form a cycle or are missing, when a service fails to start, or at a second call.
+   */
+  async start(): Promise<StartResult> {
+    const order = this.getStartOrder();
+    this.beginStart();
+    try {
+      for (const entry of order) await this.startUnlessStopping(entry);
+    } catch (thrown) {
+      this.endStart();
+      throw thrown;
     }
+    return this.endStart();
   }
 
-  /** Stops every started service, each before the services it depends on. */
+  /**
+   * Stops every started service, each before the services it depends on; repeated calls share one stop. A stop during
+   * a start waits for the service that is being started and starts no further one. A service whose start failed is
+   * stopped, too.
+   *
+   * @throws Error when a service failed to stop; the others are stopped all the same.
+   */
   async stop(): Promise<void> {
-    const stopping = this.startedEntries.reverse();
-    this.startedEntries = [];
-    for (const entry of stopping) await entry.task.stop();
+    const {lifecycle} = this;
+    switch (lifecycle.kind) {
+      case 'idle':
+        return await this.beginStop([], Promise.resolve());
+      case 'starting':
+        return await this.beginStop(lifecycle.started, lifecycle.step);
+      case 'started':
+        return await this.beginStop(lifecycle.started, Promise.resolve());
+      case 'stopping':
+        return await lifecycle.stopped;
+      default:
+        return lifecycle satisfies never;
+    }
+  }
+
+  private beginStart(): void {
+    const {lifecycle} = this;
+    switch (lifecycle.kind) {
+      case 'idle':
+        this.lifecycle = {
+          kind: 'starting',
+          started: [],
+          step: Promise.resolve(),
+        };
+        return;
+      case 'starting':
+      case 'started':
+        throw new Error('the services have been started already');
+      case 'stopping':
+        return;
+      default:
+        return lifecycle satisfies never;
+    }
+  }
+
+  private async startUnlessStopping(entry: ServiceEntry): Promise<void> {
+    const {lifecycle, clock, timers} = this;
+    switch (lifecycle.kind) {
+      case 'starting': {
+        const step = entry.task.start({services: this, clock, timers});
+        const started = [...lifecycle.started, entry];
+        this.lifecycle = {kind: 'starting', started, step};
+        return await step;
+      }
+      case 'stopping':
+        return;
+      case 'idle':
+      case 'started':
+        throw new Error('no start is in progress');
+      default:
+        return lifecycle satisfies never;
+    }
+  }
+
+  private endStart(): StartResult {
+    const {lifecycle} = this;
+    switch (lifecycle.kind) {
+      case 'starting':
+        this.lifecycle = {kind: 'started', started: lifecycle.started};
+        return {kind: 'running'};
+      case 'stopping':
+        return {kind: 'stopped'};
+      case 'idle':
+      case 'started':
+        throw new Error('no start is in progress');
+    }
+  }
+
+  private async beginStop(
+    started: readonly ServiceEntry[],
+    lastStep: Promise<void>,
+  ): Promise<void> {
+    const stopped = stopAll(started, lastStep);
+    this.lifecycle = {kind: 'stopping', stopped};
+    await stopped;
   }
 
   private getStartOrder(): readonly ServiceEntry[] {
@@ -90,3 +202,15 @@
     return order;
   }
 }
+
+/** Stops services in the reverse order of their start, once the last one has started or failed. */
+async function stopAll(
+  started: readonly ServiceEntry[],
+  lastStep: Promise<void>,
+): Promise<void> {
+  await Promise.allSettled([lastStep]);
+  const failures: unknown[] = [];
+  for (const {task} of [...started].reverse())
+    await task.stop().catch((thrown: unknown) => failures.push(thrown));
+  if (failures.length > 0) throw failures[0];
+}
--- a/src/programs/daemon/Daemon.ts
+++ b/src/programs/daemon/Daemon.ts
@@ -12,6 +12,12 @@
   readonly metricsAddress: string;
 }
 
+/** The result of starting a daemon. */
+export type DaemonStart =
+  | {readonly kind: 'running'; readonly addresses: DaemonAddresses}
+  /** A stop began before all services had started. */
+  | {readonly kind: 'stopped'};
+
 /** The services of one entry VM, run by one kernel. */
 export class Daemon {
   private readonly settings: codecs.Settings;
@@ -34,9 +40,26 @@
     this.addFleetService();
   }
 
-  /** Starts all services; returns the addresses of their listeners. */
-  async start(): Promise<DaemonAddresses> {
-    await this.kernel.start();
+  /** Starts all services, unless a stop begins meanwhile; returns the addresses of their listeners. */
+  async start(): Promise<DaemonStart> {
+    const result = await this.kernel.start();
+    switch (result.kind) {
+      case 'running':
+        return {kind: 'running', addresses: await this.getAddresses()};
+      case 'stopped':
+        return {kind: 'stopped'};
+      default:
+        return errors.throwUnreachable(result);
+    }
+  }
+
+  /** Leaves the fleet, finishes the requests in progress and stops all services. */
+  async stop(): Promise<void> {
+    this.log('daemonStopping', {});
+    await this.kernel.stop();
+  }
+
+  private async getAddresses(): Promise<DaemonAddresses> {
     const callersAddress = await this.kernel
       .getOrThrow(services.CALLERS)
       .ask<string>(reply => ({kind: 'getAddress', reply}));
@@ -52,12 +75,6 @@
     };
   }
 
-  /** Leaves the fleet, finishes the requests in progress and stops all services. */
-  async stop(): Promise<void> {
-    this.log('daemonStopping', {});
-    await this.kernel.stop();
-  }
-
   private addBaseServices(): void {
     const {settings} = this;
     this.kernel
--- a/src/programs/daemon/main.ts
+++ b/src/programs/daemon/main.ts
@@ -46,16 +46,24 @@
     return;
   }
   const daemon = new daemons.Daemon(settings);
-  const addresses = await daemon.start();
-  process.stdout.write(`${JSON.stringify(addresses)}\n`);
   let isStopping = false;
   const stop = () => {
     if (isStopping) return;
     isStopping = true;
-    void daemon.stop().then(() => process.exit(0));
+    void daemon.stop().then(() => process.exit());
   };
   process.on('SIGTERM', stop);
   process.on('SIGINT', stop);
+  const result = await daemon.start();
+  switch (result.kind) {
+    case 'running':
+      process.stdout.write(`${JSON.stringify(result.addresses)}\n`);
+      return;
+    case 'stopped':
+      return;
+    default:
+      errors.throwUnreachable(result);
+  }
 }
 
 run().catch((thrown: unknown) => {
--- a/src/programs/entry/EntryDaemon.ts
+++ b/src/programs/entry/EntryDaemon.ts
@@ -2,6 +2,7 @@
 import * as codecs from '../../codecs/index.js';
 import * as kernel from '../../kernel/index.js';
 import type * as entry from '../../model/entry/index.js';
+import * as errors from '../../model/errors/index.js';
 import * as services from '../../services/index.js';
 
 /** The adapters between an entry VM and its platform; each platform has its own. */
@@ -34,10 +35,18 @@
     this.addRequestServices();
   }
 
-  /** Starts all services. */
+  /** Starts all services, unless a stop begins meanwhile. */
   async start(): Promise<void> {
-    await this.kernel.start();
-    this.log('daemonStarted', {region: this.settings.region});
+    const result = await this.kernel.start();
+    switch (result.kind) {
+      case 'running':
+        this.log('daemonStarted', {region: this.settings.region});
+        return;
+      case 'stopped':
+        return;
+      default:
+        errors.throwUnreachable(result);
+    }
   }
 
   /** Leaves the fleet, finishes the requests in progress and stops all services. */
--- a/src/programs/entry/runEntryDaemon.ts
+++ b/src/programs/entry/runEntryDaemon.ts
@@ -11,7 +11,7 @@
   const stop = () => {
     if (isStopping) return;
     isStopping = true;
-    void daemon.stop().then(() => process.exit(0));
+    void daemon.stop().then(() => process.exit());
   };
   process.on('SIGTERM', stop);
   process.on('SIGINT', stop);
