Stop a process whose start fails

The daemon ran on half started, too.

Cause: a failed start ended run() with an exit code and a message, while the services that had started kept the process alive.

A failed start now stops what has started, which removes the row, and then ends the process with the same code.

The daemon by hand, once each: exit code 70 after 0.3 s, before no exit within 10 s.

--- a/src/programs/daemon/main.ts
+++ b/src/programs/daemon/main.ts
@@ -54,7 +54,12 @@
   };
   process.on('SIGTERM', stop);
   process.on('SIGINT', stop);
-  const result = await daemon.start();
+  const result = await daemon.start().catch(async (thrown: unknown) => {
+    isStopping = true;
+    // Peers would go on to send callers to a process that has no listener for them.
+    await daemon.stop();
+    throw thrown;
+  });
   switch (result.kind) {
     case 'running':
       process.stdout.write(`${JSON.stringify(result.addresses)}\n`);
