Give up a request no sooner than its caller can have waited for its time limit

The upstream had it in its queue, where it does not end a request at the deadline, and the VM took it to be some 500 ms older than it was.

Cause: of a connection that has waited in the accept queue, every request that was read with it was taken to be as old as the connection, and the earliest moment of arrival also decided when the VM gives up. The earliest moment is right for the time that an upstream is given; for giving up, the latest is.

Only the first request of a connection now counts as as old as the connection. An answer is awaited beyond the time given to the upstream by as long as the request may have been read late, at most 450 ms beyond the time limit. A stopping VM admits only requests whose deadlines leave that much before the rest is cut off.

upstreamTimeouts.test.ts 'is not given up before its time limit when it is sent near the end of a freeze' failed before (given up early), and passes now; AcceptQueueMonitor.test.ts has the other part.

--- a/src/services/dispatch/DispatchTask.ts
+++ b/src/services/dispatch/DispatchTask.ts
@@ -8,6 +8,7 @@
 import * as quarantineService from '../quarantine/QuarantineMessage.js';
 import type * as messages from './DispatchMessage.js';
 import * as steps from './decideStep.js';
+import * as margins from './getAnswerMarginMs.js';
 import * as balancers from './RegionBalancer.js';
 import * as registries from './UpstreamRegistry.js';
 import type * as connections from './UpstreamConnections.js';
@@ -16,9 +17,6 @@
 /** How often demand is measured and the regions' shares are updated. */
 const TICK_INTERVAL_MS = 250;
 
-/** Part of a request's remaining time that is reserved for returning the answer to the caller. */
-const RETURN_RESERVE_MS = 20;
-
 /** A request with less remaining time than this is not sent to an upstream. */
 const MIN_REMAINING_MS = 30;
 
@@ -274,7 +272,7 @@
     while (attemptCount < Math.max(1, route.maxUpstreams)) {
       if (abandoned.aborted) return {kind: 'abandoned', phase: 'placing'};
       const remainingMs =
-        dispatch.deadlineMs - RETURN_RESERVE_MS - this.nowMs();
+        dispatch.deadlineMs - margins.RETURN_RESERVE_MS - this.nowMs();
       if (remainingMs < MIN_REMAINING_MS) break;
       const admission = await this.admitAttempt(dispatch);
       if (admission.kind === 'quarantined') {
@@ -488,6 +486,7 @@
         remainingMs: Math.floor(remainingMs),
       }),
       remainingMs,
+      answerMarginMs: margins.getAnswerMarginMs(request),
       needsNewConnection:
         route.execution === 'atMostOnce' && state.isUnreliable(startedAtMs),
       isStillEligible: () => this.registry.isOpen(state, this.nowMs()),
--- a/src/services/dispatch/UpstreamConnections.ts
+++ b/src/services/dispatch/UpstreamConnections.ts
@@ -10,12 +10,6 @@
 /** Idle connections are closed well before upstreams close them, so that few requests meet a closing connection. */
 const KEEP_ALIVE_TIMEOUT_MS = 4000;
 
-/**
- * How long an answer is awaited beyond the time that the upstream was given: an upstream that is at work until then
- * answers itself, and its answer takes two ways between regions.
- */
-const ANSWER_MARGIN_MS = 150;
-
 /** How sending a request to one upstream ended. */
 export type SendResult =
   | {
@@ -56,6 +50,9 @@
   /** The time in milliseconds that the headers give to the upstream. */
   readonly remainingMs: number;
 
+  /** How much longer than the upstream's time its answer is awaited, in milliseconds. */
+  readonly answerMarginMs: number;
+
   /** Whether the request needs a connection that no other request has used. */
   readonly needsNewConnection: boolean;
 
@@ -229,8 +226,9 @@
       return;
     }
     this.timer.cancel();
+    const {remainingMs, answerMarginMs} = this.outbound;
     this.timer = new httpService.ReadTimer(
-      this.outbound.remainingMs + ANSWER_MARGIN_MS,
+      remainingMs + answerMarginMs,
       this.onTimeout,
     );
   }
--- a/src/services/entry/EntryTask.ts
+++ b/src/services/entry/EntryTask.ts
@@ -26,7 +26,7 @@
 const DEREGISTRATION_DELAY_MS = 3000;
 
 /** Part of the grace period, at its end, into which the deadline of no request may reach that is still admitted. */
-const DEADLINE_RESERVE_MS = 900;
+const DEADLINE_RESERVE_MS = 1200;
 
 /** Part of the grace period, at its end, in which requests still in progress are cut off and the answers are sent. */
 const CUT_OFF_RESERVE_MS = 700;
@@ -250,8 +250,7 @@
     const readAtMs = this.nowMs();
     const arrivedAtMs = Math.min(
       this.getEarliestArrivalMs(),
-      this.acceptQueueMonitor.getConnectionArrivalMs(incoming.socket) ??
-        Infinity,
+      this.acceptQueueMonitor.takeFirstArrivalMs(incoming.socket) ?? Infinity,
     );
     const connection = this.connections.get(incoming.socket);
     const envelope = this.options.codec.decodeRequest(incoming.rawHeaders);
--- a/src/services/http/AcceptQueueMonitor.ts
+++ b/src/services/http/AcceptQueueMonitor.ts
@@ -54,11 +54,14 @@
   }
 
   /**
-   * Gets the earliest monotonic time in milliseconds at which a connection may have arrived; undefined after the turn
-   * in which the data that arrived with the connection is read.
+   * Gets the earliest monotonic time in milliseconds at which the first request of a connection may have arrived;
+   * undefined for later requests, which may have been sent long after it, and after the turn in which the data that
+   * arrived with the connection is read.
    */
-  getConnectionArrivalMs(socket: net.Socket): number | undefined {
-    return this.arrivalsMs.get(socket);
+  takeFirstArrivalMs(socket: net.Socket): number | undefined {
+    const arrivalMs = this.arrivalsMs.get(socket);
+    this.arrivalsMs.delete(socket);
+    return arrivalMs;
   }
 
   /** Closes all probes and opens no more, because a closed listener has no address to connect to. */
--- a/test/platform/upstreamTimeouts.test.ts
+++ b/test/platform/upstreamTimeouts.test.ts
@@ -8,6 +8,10 @@
 const CALLER_TIMEOUT_MS = 20_000;
 const TIME_LIMIT_MS = 1200;
 const FREEZE_MS = 600;
+const SHORT_FREEZE_MS = 400;
+
+/** How long before the end of a freeze a request is sent. */
+const LATE_IN_FREEZE_MS = 100;
 
 /** The delay of the link between the VM and its upstream, in each direction. */
 const LINK_DELAY_MS = 5;
@@ -119,3 +123,32 @@
     });
   },
 );
+
+void test.describe(
+  'a request without an answer of its upstream',
+  {timeout: 60_000},
+  () => {
+    void test.it(
+      'is not given up before its time limit when it is sent near the end of a freeze',
+      async () => {
+        await withKeptConnection(async ({fleet, upstream, caller}) => {
+          upstream.mode = 'silent';
+          const vm = fleet.getProcess(0);
+          vm.signal('SIGSTOP');
+          await timers.setTimeout(SHORT_FREEZE_MS - LATE_IN_FREEZE_MS);
+          const sentAtMs = performance.now();
+          caller.send(['silent'], '/look/x', 'k1', CALLER_TIMEOUT_MS);
+          await timers.setTimeout(LATE_IN_FREEZE_MS);
+          vm.signal('SIGCONT');
+          await fleet.waitFor(() => caller.getAnswers().length === 2);
+          const answerMs = performance.now() - sentAtMs;
+          earl.expect(caller.getAnswers()[1].httpStatus).toEqual(504);
+          earl.expect(answerMs).toBeGreaterThan(TIME_LIMIT_MS);
+          earl
+            .expect(answerMs)
+            .toBeLessThan(TIME_LIMIT_MS + MAX_ANSWER_DELAY_MS);
+        });
+      },
+    );
+  },
+);
--- a/test/services/http/AcceptQueueMonitor.test.ts
+++ b/test/services/http/AcceptQueueMonitor.test.ts
@@ -22,6 +22,9 @@
   readonly accepted: readonly Accepted[];
   readonly monitor: http.AcceptQueueMonitor;
   readonly getNowMs: () => number;
+
+  /** Calls `listener` with each further connection, after its arrival has been taken. */
+  readonly onAccepted: (listener: (socket: net.Socket) => void) => void;
 }
 
 async function withMonitor(
@@ -35,7 +38,7 @@
   const getNowMs = () => nowMs;
   const monitor = new http.AcceptQueueMonitor(listener, getNowMs, getNowMs);
   listener.onConnection(socket => {
-    const arrivalMs = monitor.getConnectionArrivalMs(socket);
+    const arrivalMs = monitor.takeFirstArrivalMs(socket);
     if (arrivalMs !== undefined)
       accepted.push({
         address: socket.remoteAddress ?? '',
@@ -52,7 +55,9 @@
     return socket;
   };
   try {
-    await run({connect, accepted, monitor, getNowMs});
+    const onAccepted = (onConnection: (socket: net.Socket) => void) =>
+      listener.onConnection(onConnection);
+    await run({connect, accepted, monitor, getNowMs, onAccepted});
   } finally {
     monitor.close();
     for (const socket of sockets) socket.destroy();
@@ -112,6 +117,21 @@
     },
   );
 
+  void test.it(
+    'takes only the first request of a connection for as old as the connection',
+    async () => {
+      const laterArrivalsMs: (number | undefined)[] = [];
+      await withMonitor(async ({connect, accepted, monitor, onAccepted}) => {
+        onAccepted(socket =>
+          laterArrivalsMs.push(monitor.takeFirstArrivalMs(socket)),
+        );
+        connect();
+        while (accepted.length < 1) await waitForTurn();
+        earl.expect(laterArrivalsMs).toEqual([undefined]);
+      });
+    },
+  );
+
   void test.it('opens no probe after it is closed', async () => {
     let probeCount = 0;
     class CountingListener extends http.HttpListener {
