--- a/test/platform/RawCaller.ts
+++ b/test/platform/RawCaller.ts
@@ -1,10 +1,10 @@
 import * as net from 'node:net';
 import * as sockets from '../../standins/proxy/resetSocket.js';
 import * as streams from '../../standins/store/writeUntilClosed.js';
-import * as answers from './parseAnswers.js';
+import * as answers from './AnswerReader.js';
 
 /** How long the caller waits for an answer unless a test says otherwise. */
-const DEFAULT_REMAINING_MS = 3000;
+export const DEFAULT_REMAINING_MS = 3000;
 
 const MS_PER_SECOND = 1000;
 
@@ -13,7 +13,9 @@
 /** A caller that writes HTTP/1.1 directly to a socket, so that it can pipeline requests on one connection. */
 export class RawCaller {
   private readonly socket: net.Socket;
+  private readonly reader = new answers.AnswerReader();
   private received = '';
+  private closedAt: number | undefined;
   private receivedBytesPerSecond: number;
 
   private constructor(socket: net.Socket, receivedBytesPerSecond: number) {
@@ -21,8 +23,13 @@
     this.receivedBytesPerSecond = receivedBytesPerSecond;
     // Tests provoke connection errors; without a listener for them the test process would crash.
     socket.on('error', () => undefined);
+    socket.once('close', () => {
+      this.closedAt = Date.now();
+    });
     socket.on('data', chunk => {
-      this.received += chunk.toString('latin1');
+      const text = chunk.toString('latin1');
+      this.received += text;
+      this.reader.add(text);
       this.delayReading(chunk.length);
     });
   }
@@ -122,6 +129,11 @@
     return this.socket.closed;
   }
 
+  /** Wall-clock time in milliseconds at which the connection was closed; undefined while it is open. */
+  get closedAtMs(): number | undefined {
+    return this.closedAt;
+  }
+
   /** Returns the HTTP statuses of the answers received so far. */
   getStatuses(): readonly number[] {
     return [...this.received.matchAll(/HTTP\/1\.1 (\d{3}) /g)].map(match =>
@@ -131,7 +143,7 @@
 
   /** Returns the answers received so far, the last of them possibly in part. */
   getAnswers(): readonly answers.ReceivedAnswer[] {
-    return answers.parseAnswers(this.received);
+    return this.reader.getAnswers();
   }
 
   /** Returns the identifiers of the requests to which complete answers of an upstream have been received so far. */
--- a/test/platform/RequestLog.ts
+++ b/test/platform/RequestLog.ts
@@ -1,6 +1,6 @@
 import type * as upstreams from '../../standins/store/FakeUpstream.js';
-import type * as answers from './parseAnswers.js';
-import type * as callers from './RawCaller.js';
+import type * as answers from './AnswerReader.js';
+import * as callers from './RawCaller.js';
 
 /** A request that a caller has sent to a VM. */
 export interface SentRequest {
@@ -11,6 +11,9 @@
 
   /** Wall-clock time in milliseconds. */
   readonly sentAtMs: number;
+
+  /** Wall-clock time in milliseconds at which the caller's time limit is over. */
+  readonly deadlineMs: number;
 }
 
 /** A request that an upstream ran and whose caller did not get that upstream's whole answer. */
@@ -20,6 +23,9 @@
 
   /** Wall-clock time in milliseconds at which the upstream ended its work; undefined while it works. */
   readonly endedAtMs: number | undefined;
+
+  /** Wall-clock time in milliseconds at which the connection was closed; undefined while it is open. */
+  readonly closedAtMs: number | undefined;
 }
 
 /** Records the requests of callers, and finds those that are lost although an upstream ran them. */
@@ -47,14 +53,14 @@
     path: string,
     remainingMs: number,
   ): string {
-    const requestId = this.add(caller, vm);
+    const requestId = this.add(caller, vm, remainingMs);
     caller.send([requestId], path, 'k1', remainingMs);
     return requestId;
   }
 
   /** Sends a request that must run at most once; returns its identifier. */
   sendUnsafe(caller: callers.RawCaller, vm: number, path: string): string {
-    const requestId = this.add(caller, vm);
+    const requestId = this.add(caller, vm, callers.DEFAULT_REMAINING_MS);
     caller.sendHeadWith(requestId, path, 'k1', ['content-length: 4'], 'body');
     return requestId;
   }
@@ -88,16 +94,27 @@
             ...request,
             answer,
             endedAtMs: endedAtMsById.get(requestId),
+            closedAtMs: caller.closedAtMs,
           });
       }
     }
     return lost;
   }
 
-  private add(caller: callers.RawCaller, vm: number): string {
+  private add(
+    caller: callers.RawCaller,
+    vm: number,
+    remainingMs: number,
+  ): string {
     const requestId = `q${this.nextRequest++}`;
     const requests = this.requestsByCaller.get(caller) ?? [];
-    requests.push({requestId, vm, sentAtMs: Date.now()});
+    const sentAtMs = Date.now();
+    requests.push({
+      requestId,
+      vm,
+      sentAtMs,
+      deadlineMs: sentAtMs + remainingMs,
+    });
     this.requestsByCaller.set(caller, requests);
     return requestId;
   }
