--- a/test/platform/upstreamTimeouts.test.ts
+++ b/test/platform/upstreamTimeouts.test.ts
@@ -8,7 +8,7 @@
 const CALLER_TIMEOUT_MS = 20_000;
 const TIME_LIMIT_MS = 1200;
 const FREEZE_MS = 600;
-const SHORT_FREEZE_MS = 400;
+const SHORT_FREEZE_MS = 550;
 
 /** How long before the end of a freeze a request is sent. */
 const LATE_IN_FREEZE_MS = 100;
