Await no answer for longer than its caller waits

Since the answer of an upstream is awaited beyond the time given to it, a request whose caller's deadline comes first kept those behind it until the caller had left.

--- a/src/services/dispatch/DispatchTask.ts
+++ b/src/services/dispatch/DispatchTask.ts
@@ -486,7 +486,7 @@
         remainingMs: Math.floor(remainingMs),
       }),
       remainingMs,
-      answerMarginMs: margins.getAnswerMarginMs(request),
+      answerMarginMs: margins.getAnswerMarginMs(request, dispatch.deadlineMs),
       needsNewConnection:
         route.execution === 'atMostOnce' && state.isUnreliable(startedAtMs),
       isStillEligible: () => this.registry.isOpen(state, this.nowMs()),
--- a/src/services/dispatch/getAnswerMarginMs.ts
+++ b/src/services/dispatch/getAnswerMarginMs.ts
@@ -14,12 +14,19 @@
 
 /**
  * Gets how much longer than the upstream's time an answer is awaited, in milliseconds. The upstream's time counts from
- * the earliest moment at which the request may have arrived; its caller may wait for as long as the request was read late.
+ * the earliest moment at which the request may have arrived, so that its caller may still wait for as long as the request
+ * was read late. Nobody waits beyond that: answers behind this one would miss their callers.
+ *
+ * @param deadlineMs The monotonic time in milliseconds from which the upstream's time was counted back.
  */
-export function getAnswerMarginMs({
-  arrivedAtMs,
-  readAtMs,
-}: entry.EntryRequestHead): number {
-  const overtimeMs = Math.min(readAtMs - arrivedAtMs, MAX_OVERTIME_MS);
-  return Math.max(MIN_ANSWER_MARGIN_MS, RETURN_RESERVE_MS + overtimeMs);
+export function getAnswerMarginMs(
+  {arrivedAtMs, readAtMs, callerDeadlineMs}: entry.EntryRequestHead,
+  deadlineMs: number,
+): number {
+  const readDelayMs = readAtMs - arrivedAtMs;
+  const overtimeMs = Math.min(readDelayMs, MAX_OVERTIME_MS);
+  return Math.min(
+    callerDeadlineMs + readDelayMs - deadlineMs,
+    Math.max(MIN_ANSWER_MARGIN_MS, RETURN_RESERVE_MS + overtimeMs),
+  );
 }
