Answer requests that are arriving when a listener closes

Three seconds after SIGTERM, connections that had been accepted but not read yet, or on which a part of a request had been read, were closed, and the request was read and discarded.

Cause: the listener took a connection for idle if no request had been read whole.

A connection now counts as idle once nothing has arrived on it for 200 ms and all answers are sent.

--- a/src/services/http/HttpServer.ts
+++ b/src/services/http/HttpServer.ts
@@ -27,8 +27,8 @@
   }
 
   /**
-   * Closes each connection as soon as it has no request without a sent answer. Node.js also takes a connection for idle
-   * while the last answer written to it is being sent and others wait behind it.
+   * Closes each connection as soon as no request is arriving on it and all answers have been sent. Node.js also takes a
+   * connection for idle while the last answer written to it is being sent and others wait behind it.
    */
   override closeIdleConnections(): void {
     for (const connection of this.connectionsBySocket.values())
--- a/src/services/http/ServerConnection.ts
+++ b/src/services/http/ServerConnection.ts
@@ -1,5 +1,6 @@
 import type * as http from 'node:http';
 import type * as net from 'node:net';
+import * as timers from './ReadTimer.js';
 
 /**
  * How long a connection is still read from after everything has been sent on it. Closing it while bytes of the caller
@@ -7,11 +8,14 @@
  */
 const LINGER_MS = 2000;
 
+/** How long nothing may have arrived on a connection that counts as idle: a request may have been read in part. */
+const QUIET_MS = 200;
+
 /** A connection of a server, which is closed without losing an answer. */
 export class ServerConnection {
   private readonly socket: net.Socket;
   private unsentAnswerCount = 0;
-  private closesWhenIdle = false;
+  private isClosing = false;
   private isLingering = false;
 
   /** @param socket The socket of the connection, which the HTTP server has begun to read. */
@@ -29,20 +33,26 @@
   /** Adds a request; the connection is not idle until all of the answer has been sent. */
   addRequest(response: http.ServerResponse): void {
     this.unsentAnswerCount += 1;
-    response.once('finish', () => this.removeRequest());
+    response.once('finish', () => {
+      this.unsentAnswerCount -= 1;
+    });
   }
 
-  /** Closes the connection once the answers to all requests that have been received are sent. */
+  /** Closes the connection once no request is arriving and the answers to all that have arrived are sent. */
   closeWhenIdle(): void {
-    this.closesWhenIdle = true;
-    if (this.unsentAnswerCount === 0) this.linger();
+    if (this.isClosing) return;
+    this.isClosing = true;
+    this.lingerWhenIdle();
   }
 
-  private removeRequest(): void {
-    this.unsentAnswerCount -= 1;
-    // The HTTP server takes up the next answer, or closes the connection, in the same event.
-    setImmediate(() => {
-      if (this.closesWhenIdle && this.unsentAnswerCount === 0) this.linger();
+  private lingerWhenIdle(): void {
+    const {socket} = this;
+    const {bytesRead} = socket;
+    new timers.ReadTimer(QUIET_MS, () => {
+      if (socket.destroyed) return;
+      const isQuiet = socket.bytesRead === bytesRead;
+      if (isQuiet && this.unsentAnswerCount === 0) this.linger();
+      else this.lingerWhenIdle();
     });
   }
 
