Bound the wait for an answer, and tell requests that may have run when they are cut off

A request could be cut off at the end of the grace period although its deadline had left room. The wait for a connection now counts towards a bound of 400 ms beyond the time limit.

A request that was cut off while it waited for a second attempt was answered 503, not run, although its first attempt may have run.

--- a/src/services/dispatch/DispatchMessage.ts
+++ b/src/services/dispatch/DispatchMessage.ts
@@ -20,8 +20,14 @@
 /** The outcome of a dispatched request. */
 export type DispatchOutcome =
   | {readonly kind: 'answered'; readonly answer: entry.EntryAnswer}
-  /** The caller disconnected. */
-  | {readonly kind: 'abandoned'; readonly phase: entry.RequestPhase}
+  /** The caller disconnected, or the request was cut off. */
+  | {
+      readonly kind: 'abandoned';
+      readonly phase: entry.RequestPhase;
+
+      /** Whether an upstream may have run the request. */
+      readonly mayHaveRun: boolean;
+    }
   /** No upstream ran the request, and none will run it later. */
   | {
       readonly kind: 'notRun';
--- a/src/services/dispatch/DispatchTask.ts
+++ b/src/services/dispatch/DispatchTask.ts
@@ -8,7 +8,7 @@
 import * as quarantineService from '../quarantine/QuarantineMessage.js';
 import type * as messages from './DispatchMessage.js';
 import * as steps from './decideStep.js';
-import * as margins from './getAnswerMarginMs.js';
+import * as margins from './getAnswerMargin.js';
 import * as balancers from './RegionBalancer.js';
 import * as registries from './UpstreamRegistry.js';
 import type * as connections from './UpstreamConnections.js';
@@ -270,7 +270,8 @@
     let unsentCount = 0;
     let failure: steps.Failure | undefined;
     while (attemptCount < Math.max(1, route.maxUpstreams)) {
-      if (abandoned.aborted) return {kind: 'abandoned', phase: 'placing'};
+      if (abandoned.aborted)
+        return steps.getAbandonedOutcome('placing', failure);
       const remainingMs =
         dispatch.deadlineMs - margins.RETURN_RESERVE_MS - this.nowMs();
       if (remainingMs < MIN_REMAINING_MS) break;
@@ -312,7 +313,9 @@
         result,
       );
       const recorded = this.recordRun(dispatch, record, admission.mark, result);
-      if (step.kind === 'answered' || step.kind === 'abandoned') return step;
+      if (step.kind === 'answered') return step;
+      if (step.kind === 'abandoned')
+        return steps.getAbandonedOutcome(step.phase, failure);
       failure = steps.getWorseFailure(failure, step.failure);
       if (step.kind === 'finish') break;
       await recorded;
@@ -486,7 +489,7 @@
         remainingMs: Math.floor(remainingMs),
       }),
       remainingMs,
-      answerMarginMs: margins.getAnswerMarginMs(request, dispatch.deadlineMs),
+      answerMargin: margins.getAnswerMargin(request, dispatch.deadlineMs),
       needsNewConnection:
         route.execution === 'atMostOnce' && state.isUnreliable(startedAtMs),
       isStillEligible: () => this.registry.isOpen(state, this.nowMs()),
--- a/src/services/dispatch/UpstreamConnections.ts
+++ b/src/services/dispatch/UpstreamConnections.ts
@@ -3,6 +3,7 @@
 import type * as codecs from '../../codecs/entry/index.js';
 import type * as entry from '../../model/entry/index.js';
 import * as httpService from '../http/index.js';
+import type * as margins from './getAnswerMargin.js';
 
 /** Allows for two round trips between distant regions and a lost packet. */
 const CONNECT_TIMEOUT_MS = 700;
@@ -50,8 +51,8 @@
   /** The time in milliseconds that the headers give to the upstream. */
   readonly remainingMs: number;
 
-  /** How much longer than the upstream's time its answer is awaited, in milliseconds. */
-  readonly answerMarginMs: number;
+  /** How much longer its answer is awaited. */
+  readonly answerMargin: margins.AnswerMargin;
 
   /** Whether the request needs a connection that no other request has used. */
   readonly needsNewConnection: boolean;
@@ -168,6 +169,7 @@
   private readonly settle: (result: SendResult) => void;
   private readonly onTimeout = () =>
     this.abort({kind: 'timedOut', phase: this.phase});
+  private readonly createdAtMs = performance.now();
   private timer: httpService.ReadTimer;
   private readonly body = new httpService.BodyBuffer('answer');
   private interimCount = 0;
@@ -226,9 +228,11 @@
       return;
     }
     this.timer.cancel();
-    const {remainingMs, answerMarginMs} = this.outbound;
+    const {remainingMs, answerMargin} = this.outbound;
+    const connectMs = performance.now() - this.createdAtMs;
     this.timer = new httpService.ReadTimer(
-      remainingMs + answerMarginMs,
+      remainingMs +
+        Math.min(answerMargin.afterSendMs, answerMargin.totalMs - connectMs),
       this.onTimeout,
     );
   }
--- a/src/services/dispatch/decideStep.ts
+++ b/src/services/dispatch/decideStep.ts
@@ -2,6 +2,7 @@
 import type * as configurations from '../../model/configuration/index.js';
 import type * as entry from '../../model/entry/index.js';
 import * as errors from '../../model/errors/index.js';
+import type * as messages from './DispatchMessage.js';
 import type * as connections from './UpstreamConnections.js';
 
 /** Why a request failed, and whether an upstream may have run it. */
@@ -124,6 +125,16 @@
   return previous?.kind === 'mayHaveRun' ? previous : next;
 }
 
+/** Gets the outcome of a request that is abandoned after an earlier attempt may have failed. */
+export function getAbandonedOutcome(
+  phase: entry.RequestPhase,
+  previous: Failure | undefined,
+): Extract<messages.DispatchOutcome, {kind: 'abandoned'}> {
+  const isAtUpstream = phase === 'atUpstream' || phase === 'receivingAnswer';
+  const mayHaveRun = isAtUpstream || previous?.kind === 'mayHaveRun';
+  return {kind: 'abandoned', phase, mayHaveRun};
+}
+
 /** Gets the failure of a request for which no upstream could be chosen. */
 export function getPlacementFailure(
   placement: Exclude<decisions.Placement, {kind: 'chosen'}>,
--- a/src/services/dispatch/getAnswerMarginMs.ts
+++ b/src/services/dispatch/getAnswerMargin.ts
@@ -10,23 +10,37 @@
 const MIN_ANSWER_MARGIN_MS = 150;
 
 /** How much longer than its time limit a request may take whose upstream does not answer. */
-const MAX_OVERTIME_MS = 450;
+const MAX_OVERTIME_MS = 400;
+
+/** How much longer than the upstream's time its answer is awaited, in milliseconds. */
+export interface AnswerMargin {
+  /** Counted from when the request is sent: the upstream's time begins then, too. */
+  readonly afterSendMs: number;
+
+  /** The bound on the whole, with the time that it took to get a connection. */
+  readonly totalMs: number;
+}
 
 /**
- * Gets how much longer than the upstream's time an answer is awaited, in milliseconds. The upstream's time counts from
+ * Gets how much longer than the upstream's time an answer is awaited. The upstream's time counts from
  * the earliest moment at which the request may have arrived, so that its caller may still wait for as long as the request
  * was read late. Nobody waits beyond that: answers behind this one would miss their callers.
  *
  * @param deadlineMs The monotonic time in milliseconds from which the upstream's time was counted back.
  */
-export function getAnswerMarginMs(
+export function getAnswerMargin(
   {arrivedAtMs, readAtMs, callerDeadlineMs}: entry.EntryRequestHead,
   deadlineMs: number,
-): number {
+): AnswerMargin {
   const readDelayMs = readAtMs - arrivedAtMs;
+  const callerMarginMs = callerDeadlineMs + readDelayMs - deadlineMs;
   const overtimeMs = Math.min(readDelayMs, MAX_OVERTIME_MS);
-  return Math.min(
-    callerDeadlineMs + readDelayMs - deadlineMs,
-    Math.max(MIN_ANSWER_MARGIN_MS, RETURN_RESERVE_MS + overtimeMs),
+  const wantedMs = Math.max(
+    MIN_ANSWER_MARGIN_MS,
+    RETURN_RESERVE_MS + overtimeMs,
   );
+  return {
+    afterSendMs: Math.min(callerMarginMs, wantedMs),
+    totalMs: Math.min(callerMarginMs, RETURN_RESERVE_MS + MAX_OVERTIME_MS),
+  };
 }
--- a/src/services/entry/EntryFlow.ts
+++ b/src/services/entry/EntryFlow.ts
@@ -8,8 +8,14 @@
 /** The outcome of a caller's request. */
 export type EntryResult =
   | {readonly kind: 'answered'; readonly answer: entry.EntryAnswer}
-  /** The caller disconnected, so no answer is sent. */
-  | {readonly kind: 'abandoned'; readonly phase: entry.RequestPhase}
+  /** The caller disconnected, so that no answer is sent, or the request was cut off. */
+  | {
+      readonly kind: 'abandoned';
+      readonly phase: entry.RequestPhase;
+
+      /** Whether an upstream may have run the request. */
+      readonly mayHaveRun: boolean;
+    }
   | {
       readonly kind: 'failed';
       readonly error: errors.ErrorKind;
@@ -52,7 +58,8 @@
   /** Applies the rate limit and load shedding to a granted request, then dispatches it to an upstream. */
   async run(granted: GrantedEntry): Promise<EntryResult> {
     const {request, route, organisation, abandoned} = granted;
-    if (abandoned.aborted) return {kind: 'abandoned', phase: 'reading'};
+    if (abandoned.aborted)
+      return {kind: 'abandoned', phase: 'reading', mayHaveRun: false};
     if (organisation !== undefined) {
       const admission = await this.shares.ask<sharesService.ShareResult>(
         reply => ({
@@ -66,7 +73,7 @@
         case 'granted':
           break;
         case 'abandoned':
-          return {kind: 'abandoned', phase: 'awaitingToken'};
+          return {kind: 'abandoned', phase: 'awaitingToken', mayHaveRun: false};
         case 'refused':
           return {
             kind: 'failed',
@@ -80,7 +87,8 @@
           };
       }
     }
-    if (abandoned.aborted) return {kind: 'abandoned', phase: 'awaitingToken'};
+    if (abandoned.aborted)
+      return {kind: 'abandoned', phase: 'awaitingToken', mayHaveRun: false};
     // Load is shed after the rate limits, so that organisations over their limit don't crowd out the others.
     if (!this.shedder.shouldAdmit())
       return {
--- a/src/services/entry/EntryTask.ts
+++ b/src/services/entry/EntryTask.ts
@@ -439,7 +439,7 @@
           this.writeFailure(
             exchange,
             head,
-            getCutOffFailure(result.phase, this.nowMs()),
+            getCutOffFailure(result, this.nowMs()),
           );
         return;
       case 'failed':
@@ -546,7 +546,7 @@
 
 /** Gets the failure of a request that is still in progress near the end of the grace period. */
 function getCutOffFailure(
-  phase: entry.RequestPhase,
+  {phase, mayHaveRun}: Extract<flows.EntryResult, {kind: 'abandoned'}>,
   nowMs: number,
 ): Extract<flows.EntryResult, {kind: 'failed'}> {
   const failure = {
@@ -554,16 +554,7 @@
     message: 'this VM stops before the request is answered',
     phase,
   } as const;
-  switch (phase) {
-    case 'reading':
-    case 'awaitingToken':
-    case 'placing':
-    case 'connecting':
-      return {...failure, error: 'stopping', retryAtMs: nowMs};
-    case 'atUpstream':
-    case 'receivingAnswer':
-      return {...failure, error: 'upstreamFailed', retryAtMs: undefined};
-    default:
-      return errors.throwUnreachable(phase);
-  }
+  return mayHaveRun
+    ? {...failure, error: 'upstreamFailed', retryAtMs: undefined}
+    : {...failure, error: 'stopping', retryAtMs: nowMs};
 }
--- a/test/services/dispatch/UpstreamConnections.test.ts
+++ b/test/services/dispatch/UpstreamConnections.test.ts
@@ -39,7 +39,7 @@
     request: {...REQUEST, requestId},
     headers: ['x-request-id', requestId],
     remainingMs: 20_000,
-    answerMarginMs: 0,
+    answerMargin: {afterSendMs: 0, totalMs: 0},
     needsNewConnection: false,
     isStillEligible: () => true,
     onNotice: () => {},
--- a/test/services/dispatch/answerTimeout.test.ts
+++ b/test/services/dispatch/answerTimeout.test.ts
@@ -42,7 +42,10 @@
           },
           headers: ['x-request-id', 'q'],
           remainingMs: REMAINING_MS,
-          answerMarginMs: ANSWER_MARGIN_MS,
+          answerMargin: {
+            afterSendMs: ANSWER_MARGIN_MS,
+            totalMs: ANSWER_MARGIN_MS,
+          },
           needsNewConnection: false,
           isStillEligible: () => true,
           onNotice: () => {},
--- a/test/services/dispatch/getAnswerMarginMs.test.ts
+++ b/test/services/dispatch/getAnswerMargin.test.ts
@@ -1,12 +1,15 @@
 import * as test from 'node:test';
 import * as earl from 'earl';
 import type * as entry from '../../../src/model/entry/index.js';
-import * as margins from '../../../src/services/dispatch/getAnswerMarginMs.js';
+import * as margins from '../../../src/services/dispatch/getAnswerMargin.js';
 
 const TIME_LIMIT_MS = 1200;
 
 /** Gets the margin of a request that arrived at 0 and was read after a delay. */
-function getMarginMs(readDelayMs: number, callerDeadlineMs: number): number {
+function getMargin(
+  readDelayMs: number,
+  callerDeadlineMs: number,
+): margins.AnswerMargin {
   const head: entry.EntryRequestHead = {
     requestId: 'q',
     method: 'GET',
@@ -19,31 +22,31 @@
     readAtMs: readDelayMs,
     callerDeadlineMs,
   };
-  return margins.getAnswerMarginMs(
-    head,
-    Math.min(TIME_LIMIT_MS, callerDeadlineMs),
-  );
+  const deadlineMs = Math.min(TIME_LIMIT_MS, callerDeadlineMs);
+  return margins.getAnswerMargin(head, deadlineMs);
 }
 
-void test.describe('getAnswerMarginMs', () => {
+void test.describe('getAnswerMargin', () => {
   void test.it(
     'leaves time for the answer of an upstream that gives up',
     () => {
-      earl.expect(getMarginMs(0, 3000)).toEqual(150);
+      earl.expect(getMargin(0, 3000)).toEqual({afterSendMs: 150, totalMs: 420});
     },
   );
 
   void test.it(
     'grows with the time that the request was read late, up to a bound',
     () => {
-      earl.expect(getMarginMs(300, 3000)).toEqual(320);
-      earl.expect(getMarginMs(900, 3000)).toEqual(470);
+      earl.expect(getMargin(300, 3000).afterSendMs).toEqual(320);
+      earl
+        .expect(getMargin(900, 3000))
+        .toEqual({afterSendMs: 420, totalMs: 420});
     },
   );
 
   void test.it('ends when no caller can wait any more', () => {
-    earl.expect(getMarginMs(0, 1000)).toEqual(0);
-    earl.expect(getMarginMs(300, 1000)).toEqual(300);
-    earl.expect(getMarginMs(0, 1250)).toEqual(50);
+    earl.expect(getMargin(0, 1000)).toEqual({afterSendMs: 0, totalMs: 0});
+    earl.expect(getMargin(300, 1000)).toEqual({afterSendMs: 300, totalMs: 300});
+    earl.expect(getMargin(0, 1250)).toEqual({afterSendMs: 50, totalMs: 50});
   });
 });
