Bound how long a stop waits for peers, operators and queries of metrics

Cause: PeersTask, OperatorsTask and MetricsTask waited for their listener to close without a bound. A half-closed connection is read from for 2 s, and a request whose body does not arrive never ends, while the callers' listener leaves 300 ms of the grace period to the services that stop after it.

Peers and metrics now get 50 ms each, operators of the daemon 1 s; what is then open is closed at once.

--- a/src/services/metrics/MetricsTask.ts
+++ b/src/services/metrics/MetricsTask.ts
@@ -8,6 +8,10 @@
 
 const PERCENTILES: readonly number[] = [50, 90, 99, 99.9];
 const PERCENT = 100;
+
+/** How long a stop waits for queries in progress; it is part of what the callers' listener leaves of a stop. */
+const CLOSE_TIMEOUT_MS = 50;
+
 const MICROSECONDS_PER_MS = 1000;
 const MICROSECONDS_PER_SECOND = 1_000_000;
 
@@ -38,7 +42,7 @@
   }
 
   protected override async onStop(): Promise<void> {
-    await this.listener.close();
+    await this.listener.closeWithin(CLOSE_TIMEOUT_MS);
   }
 
   protected override receive(message: messages.MetricsMessage): void {
--- a/src/services/operators/OperatorsTask.ts
+++ b/src/services/operators/OperatorsTask.ts
@@ -30,6 +30,9 @@
 /** The operators service. It accepts no messages; its JSON-RPC methods are called over its HTTP listener. */
 export const OPERATORS = kernel.createServiceName<never>('operators');
 
+/** How long a stop waits for commands in progress. */
+const CLOSE_TIMEOUT_MS = 1000;
+
 /** The authenticated operator that a JSON-RPC method is called by. */
 interface OperatorIdentity {
   readonly operatorId: string;
@@ -84,7 +87,7 @@
   }
 
   protected override async onStop(): Promise<void> {
-    await this.listener.close();
+    await this.listener.closeWithin(CLOSE_TIMEOUT_MS);
   }
 
   protected override receive(message: never): void {
--- a/src/services/peers/PeersTask.ts
+++ b/src/services/peers/PeersTask.ts
@@ -11,6 +11,10 @@
 
 const MAX_CONNECTIONS = 8;
 const CONNECT_TIMEOUT_MS = 1000;
+
+/** How long a stop waits for peers' requests in progress; it is part of what the callers' listener leaves of a stop. */
+const CLOSE_TIMEOUT_MS = 50;
+
 const HTTP_OK = 200;
 const HTTP_UNAUTHORIZED = 401;
 
@@ -43,7 +47,7 @@
 
   protected override async onStop(): Promise<void> {
     await Promise.all([...this.pools.values()].map(pool => pool.destroy()));
-    await this.listener.close();
+    await this.listener.closeWithin(CLOSE_TIMEOUT_MS);
   }
 
   protected override receive(message: messages.PeersMessage): void {
