--- a/src/programs/daemon/main.ts
+++ b/src/programs/daemon/main.ts
@@ -74,5 +74,6 @@
 run().catch((thrown: unknown) => {
   const error = errors.toError(thrown);
   process.stderr.write(`bramleyrund: ${error.message}\n`);
-  process.exitCode = errors.ERROR_ANSWERS[error.kind].exitCode;
+  // Timers that are still pending would delay the end of the process.
+  process.exit(errors.ERROR_ANSWERS[error.kind].exitCode);
 });
