Leave the fleet in bounded time, after the write of the row, and tell peers

Three faults of MembersTask, found while listing what a stop waits for; none is shown to have hurt a caller: - A stop waited for the store's answer to the removal of the row without a bound of its own, longer than a short grace period: up to 2.7 s over a slow link. It now waits at most 1 s from the request on, which is over long before callers are closed. - A stop soon after a start sent the removal beside a write of the row in progress. If the store took the write last, the row of a VM that is gone stayed. The removal now follows the answer to the write. - A VM that was stopped before its callers' listener had started told its peers nothing, and its last status was sent right before the socket closed, so that it was lost. It is now sent when the wait for the store begins.

What a VM is to the fleet is now one union instead of two flags; nothing is sent on a closed socket any more, which would have ended the process with an error.

--- a/src/services/members/MembersTask.ts
+++ b/src/services/members/MembersTask.ts
@@ -29,6 +29,9 @@
 /** The delay in milliseconds before a failed call to the store is retried while no rows have been read. */
 const RETRY_DELAY_MS = 400;
 
+/** How long after its request the removal of this VM's row is waited for at the end of a stop. */
+const REMOVAL_TIMEOUT_MS = 1000;
+
 /** How often peers are told of an upstream that leaves; datagrams can get lost. */
 const LEAVING_ANNOUNCEMENT_COUNT = 2;
 const LEAVING_ANNOUNCEMENT_INTERVAL_MS = 500;
@@ -36,6 +39,24 @@
 /** The largest number of suspect requests in one datagram, which keeps it within one packet. */
 const MAX_DATAGRAM_SUSPECTS = 12;
 
+/** How far this VM has left the fleet. */
+type Presence =
+  | {readonly kind: 'member'}
+  /** Peers are told that this VM leaves, and its row is being removed. */
+  | {
+      readonly kind: 'leaving';
+
+      /** Settles when the store has answered. */
+      readonly removed: Promise<unknown>;
+
+      /** Monotonic time in milliseconds until which a stop waits for the store's answer. */
+      readonly removalDeadlineMs: number;
+    }
+  /** The task only waits for the store's answer. */
+  | {readonly kind: 'stopping'}
+  /** The socket is closed. */
+  | {readonly kind: 'stopped'};
+
 /**
  * Owns the datagram socket on which VMs exchange their statuses, registers this VM in the store, and publishes to
  * subscribers which VMs are running.
@@ -59,9 +80,10 @@
   private upstreamRowsVersion = 0;
   private limitUseReport: entry.LimitUseReport | undefined;
   private serviceDemands: readonly entry.ServiceDemand[] = [];
-  private removalResult: Promise<store.StoreWriteResult> | undefined;
-  private isLeaving = false;
-  private isStopped = false;
+  private presence: Presence = {kind: 'member'};
+
+  /** Settles when the store has answered the last request to write this VM's row. */
+  private registered: Promise<unknown> = Promise.resolve();
 
   /**
    * @param self This VM's record, with the addresses at which peers and callers reach this process.
@@ -97,9 +119,12 @@
   }
 
   protected override async onStop(): Promise<void> {
-    this.isStopped = true;
-    await this.unregister();
+    const {removed, removalDeadlineMs} = this.leave();
+    this.presence = {kind: 'stopping'};
+    // A datagram that is sent right before the socket closes is lost.
     this.sendStatus();
+    await Promise.race([removed, this.waitUntil(removalDeadlineMs)]);
+    this.presence = {kind: 'stopped'};
     await new Promise<void>(resolve => this.socket.close(() => resolve()));
   }
 
@@ -156,10 +181,10 @@
         this.publish();
         return;
       case 'leave':
-        this.isLeaving = true;
+        if (!this.isRunning) return;
         // The row is removed already now: at the end of the shutdown, too little of the grace period might be left for
         // the store to answer.
-        void this.unregister();
+        this.leave();
         this.sendStatus();
         this.publish();
         return;
@@ -169,8 +194,8 @@
   }
 
   private register(): void {
-    if (this.isLeaving || this.isStopped) return;
-    void this.getService(store.STORE)
+    if (this.presence.kind !== 'member') return;
+    this.registered = this.getService(store.STORE)
       .ask<store.StoreWriteResult>(reply => ({
         kind: 'writeMember',
         member: this.self,
@@ -181,16 +206,37 @@
       );
   }
 
-  /** Removes this VM's row from the store; repeated calls share one removal. */
-  private async unregister(): Promise<void> {
-    this.removalResult ??= this.getService(
-      store.STORE,
-    ).ask<store.StoreWriteResult>(reply => ({
+  /** Begins to leave the fleet; repeated calls share one removal of this VM's row. */
+  private leave(): Extract<Presence, {kind: 'leaving'}> {
+    if (this.presence.kind === 'leaving') return this.presence;
+    this.presence = {
+      kind: 'leaving',
+      removed: this.removeRow(),
+      removalDeadlineMs: this.nowMs() + REMOVAL_TIMEOUT_MS,
+    };
+    return this.presence;
+  }
+
+  /** Removes this VM's row from the store, once no write of it is in progress that could come after the removal. */
+  private async removeRow(): Promise<void> {
+    await this.registered;
+    await this.getService(store.STORE).ask<store.StoreWriteResult>(reply => ({
       kind: 'removeMember',
       vmId: this.self.vmId,
       reply,
     }));
-    await this.removalResult;
+  }
+
+  /** Whether the task still follows its peers and the store. */
+  private get isRunning(): boolean {
+    switch (this.presence.kind) {
+      case 'member':
+      case 'leaving':
+        return true;
+      case 'stopping':
+      case 'stopped':
+        return false;
+    }
   }
 
   private handleRegistrationResult(result: store.StoreWriteResult): void {
@@ -211,7 +257,7 @@
    * the statuses that they send.
    */
   private readMembers(): void {
-    if (this.isStopped || this.isReadPending) return;
+    if (!this.isRunning || this.isReadPending) return;
     this.isReadPending = true;
     const sentAtMs = this.nowMs();
     const {following} = this;
@@ -288,7 +334,7 @@
 
   /** Sends this VM's status to every peer. */
   private sendStatus(): void {
-    if (this.isStopped && !this.isLeaving) return;
+    if (this.presence.kind === 'stopped') return;
     this.sendToPeers(codecs.encodeMemberStatus(this.getStatus()));
   }
 
@@ -297,7 +343,7 @@
     remainingCount: number,
     getTargets: () => Iterable<string>,
   ): void {
-    if (this.isStopped || remainingCount <= 0) return;
+    if (!this.isRunning || remainingCount <= 0) return;
     this.sendTo(getTargets(), codecs.encodeUpstreamLeaving(start));
     this.getContext().timers.after(LEAVING_ANNOUNCEMENT_INTERVAL_MS, () =>
       this.announceLeaving(start, remainingCount - 1, getTargets),
@@ -305,7 +351,7 @@
   }
 
   private announceSuspects(suspects: readonly peers.SuspectReport[]): void {
-    if (this.isStopped) return;
+    if (!this.isRunning) return;
     for (let from = 0; from < suspects.length; from += MAX_DATAGRAM_SUSPECTS) {
       const part = suspects.slice(from, from + MAX_DATAGRAM_SUSPECTS);
       this.sendToPeers(codecs.encodeSuspects(part));
@@ -436,8 +482,19 @@
     return Math.max(reservedCount, registeredCount);
   }
 
+  private get isLeaving(): boolean {
+    return this.presence.kind !== 'member';
+  }
+
+  private waitUntil(atMs: number): Promise<void> {
+    return new Promise(resolve => {
+      const delayMs = Math.max(0, atMs - this.nowMs());
+      this.getContext().timers.after(delayMs, resolve);
+    });
+  }
+
   private postAfter(delayMs: number, message: messages.MembersMessage): void {
-    if (this.isStopped) return;
+    if (!this.isRunning) return;
     this.getContext().timers.after(delayMs, () =>
       this.getAddress().post(message),
     );
--- a/test/services/members/MembersTask.test.ts
+++ b/test/services/members/MembersTask.test.ts
@@ -1,12 +1,73 @@
 import * as dgram from 'node:dgram';
 import * as events from 'node:events';
 import * as test from 'node:test';
+import * as timers from 'node:timers/promises';
 import * as earl from 'earl';
+import * as codecs from '../../../src/codecs/index.js';
 import * as kernel from '../../../src/kernel/index.js';
 import * as services from '../../../src/services/index.js';
 import * as records from '../../support/records/index.js';
 import * as stubs from '../../support/services/StubTask.js';
 
+const POLL_INTERVAL_MS = 5;
+
+/** Time limit for a stop while the store does not answer, in milliseconds. */
+const STOP_LIMIT_MS = 1500;
+
+/** A VM whose store keeps the questions it receives until the test answers them. */
+class MemberVm {
+  readonly kernel = new kernel.Kernel();
+  readonly storeMessages: services.StoreMessage[] = [];
+
+  constructor() {
+    this.kernel
+      .add(services.LOG, new stubs.StubTask<services.LogMessage>())
+      .add(services.METRICS, new stubs.StubTask<services.MetricsMessage>())
+      .add(services.KNOWLEDGE, new stubs.StubTask<services.KnowledgeMessage>())
+      .add(
+        services.STORE,
+        new stubs.StubTask<services.StoreMessage>(message =>
+          this.storeMessages.push(message),
+        ),
+      )
+      .add(
+        services.MEMBERS,
+        new services.MembersTask(records.getMemberRecord('vm-0'), {
+          host: '127.0.0.1',
+          port: 0,
+        }),
+      );
+  }
+
+  /** Waits until the store has received as many questions. */
+  async waitForStoreMessages(count: number): Promise<void> {
+    while (this.storeMessages.length < count)
+      await timers.setTimeout(POLL_INTERVAL_MS);
+  }
+
+  /** Gets the kinds of the questions that the store has received. */
+  getStoreKinds(): readonly services.StoreMessage['kind'][] {
+    return this.storeMessages.map(message => message.kind);
+  }
+
+  /** Answers a write or a removal of a row. */
+  answerWrite(index: number): void {
+    const message = this.storeMessages[index];
+    if (message.kind === 'writeMember' || message.kind === 'removeMember')
+      message.reply({kind: 'written'});
+  }
+
+  /** Answers a read of the VMs' rows. */
+  answerRead(
+    index: number,
+    member: ReturnType<typeof records.getMemberRecord>,
+  ): void {
+    const message = this.storeMessages[index];
+    if (message.kind === 'readMembers')
+      message.reply({kind: 'snapshot', tableVersion: 1, members: [member]});
+  }
+}
+
 void test.describe('MembersTask', {timeout: 10_000}, () => {
   void test.it('fails to start when its address is in use', async () => {
     const other = dgram.createSocket('udp4');
@@ -28,4 +89,68 @@
       other.close();
     }
   });
+
+  void test.it(
+    'removes its row only after a write of it has ended',
+    async () => {
+      const vm = new MemberVm();
+      await vm.kernel.start();
+      await vm.waitForStoreMessages(1);
+      const stopping = vm.kernel.stop();
+      await timers.setTimeout(10 * POLL_INTERVAL_MS);
+      earl.expect(vm.getStoreKinds()).toEqual(['writeMember']);
+      vm.answerWrite(0);
+      await vm.waitForStoreMessages(2);
+      earl.expect(vm.getStoreKinds()).toEqual(['writeMember', 'removeMember']);
+      vm.answerWrite(1);
+      await stopping;
+    },
+  );
+
+  void test.it('stops although the store does not answer', async () => {
+    const vm = new MemberVm();
+    await vm.kernel.start();
+    await vm.waitForStoreMessages(1);
+    vm.answerWrite(0);
+    const startedAtMs = performance.now();
+    const isStopped = await Promise.race([
+      vm.kernel.stop().then(() => true),
+      timers.setTimeout(STOP_LIMIT_MS, false),
+    ]);
+    earl.expect(isStopped).toEqual(true);
+    earl.expect(performance.now() - startedAtMs).toBeLessThan(STOP_LIMIT_MS);
+    earl.expect(vm.getStoreKinds().includes('removeMember')).toEqual(true);
+  });
+
+  void test.it(
+    'tells its peers of a stop that no other service announced',
+    async () => {
+      const peer = dgram.createSocket('udp4');
+      peer.bind(0, '127.0.0.1');
+      await events.EventEmitter.once(peer, 'listening');
+      const isLeavingHeard: boolean[] = [];
+      peer.on('message', bytes => {
+        const datagram = codecs.decodeMemberDatagram(bytes);
+        if (datagram.kind === 'status')
+          isLeavingHeard.push(datagram.status.isLeaving);
+      });
+      const vm = new MemberVm();
+      await vm.kernel.start();
+      await vm.waitForStoreMessages(1);
+      vm.answerWrite(0);
+      await vm.waitForStoreMessages(2);
+      const peersAddress = `127.0.0.1:${peer.address().port}`;
+      vm.answerRead(1, records.getMemberRecord('vm-1', {peersAddress}));
+      while (isLeavingHeard.length === 0)
+        await timers.setTimeout(POLL_INTERVAL_MS);
+      const stopping = vm.kernel.stop();
+      while (!vm.getStoreKinds().includes('removeMember'))
+        await timers.setTimeout(POLL_INTERVAL_MS);
+      vm.answerWrite(vm.getStoreKinds().indexOf('removeMember'));
+      await stopping;
+      await timers.setTimeout(10 * POLL_INTERVAL_MS);
+      peer.close();
+      earl.expect(isLeavingHeard.at(-1)).toEqual(true);
+    },
+  );
 });
