Read from closing connections for five seconds, and name the times of a stop

lingerSlowReader.test.ts failed before: of an answer of 1 MiB that its caller reads 2.3 s after the close, 195,584 bytes arrived. What the system has taken from the process has not reached the caller yet, so that a caller on a slow link needs more than the two seconds. In a stop the end of the grace period remains the bound.

No change of behaviour: the last deadline of a stop is called so, and follows from the two times that it has to leave room for; exchanges are forgotten also when writing an answer throws.

--- a/src/decisions/shutdown/isAdmittedWhileStopping.ts
+++ b/src/decisions/shutdown/isAdmittedWhileStopping.ts
@@ -10,8 +10,8 @@
       /** Until when callers that do not know of the stop yet are served like before. */
       readonly steersAwayUntilMs: number;
 
-      /** When the connections of requests that are still unanswered are closed. */
-      readonly closesAtMs: number;
+      /** The latest deadline of a request that is certain to be over before requests are cut off. */
+      readonly lastDeadlineMs: number;
     };
 
 /** A request as far as its admission by a stopping process depends on it. */
@@ -36,7 +36,7 @@
     case 'running':
       return true;
     case 'stopping':
-      if (request.deadlineMs <= lifecycle.closesAtMs) return true;
+      if (request.deadlineMs <= lifecycle.lastDeadlineMs) return true;
       return (
         request.execution === 'idempotent' &&
         nowMs < lifecycle.steersAwayUntilMs
--- a/src/services/dispatch/DispatchMessage.ts
+++ b/src/services/dispatch/DispatchMessage.ts
@@ -4,6 +4,9 @@
 import type * as knowledgeService from '../knowledge/KnowledgeMessage.js';
 import type * as membersService from '../members/MembersMessage.js';
 
+/** How much longer than its deadline a request may take whose upstream does not answer. */
+export const MAX_OVERTIME_MS = 400;
+
 /** An admitted request that is to be sent to an upstream. */
 export interface EntryDispatch {
   readonly request: entry.EntryRequest;
@@ -13,7 +16,7 @@
   /** Monotonic time in milliseconds by which the caller must have a final answer. */
   readonly deadlineMs: number;
 
-  /** Aborted when the caller disconnects. */
+  /** Aborted when the caller disconnects, and when the request is cut off. */
   readonly abandoned: AbortSignal;
 }
 
--- a/src/services/dispatch/UpstreamConnections.ts
+++ b/src/services/dispatch/UpstreamConnections.ts
@@ -38,7 +38,7 @@
   /** The response does not belong to this request. */
   | {readonly kind: 'garbled'}
   | {readonly kind: 'timedOut'; readonly phase: entry.RequestPhase}
-  /** The caller disconnected. */
+  /** The caller disconnected, or the request was cut off. */
   | {readonly kind: 'abandoned'; readonly phase: entry.RequestPhase};
 
 /** A request to one upstream, with its encoded headers and its limits. */
--- a/src/services/dispatch/decideStep.ts
+++ b/src/services/dispatch/decideStep.ts
@@ -16,7 +16,7 @@
 /** What to do after an attempt to send a request. */
 export type Step =
   | {readonly kind: 'answered'; readonly answer: entry.EntryAnswer}
-  /** The caller disconnected, so no answer is sent. */
+  /** The caller disconnected, or the request was cut off. */
   | {readonly kind: 'abandoned'; readonly phase: entry.RequestPhase}
   | {readonly kind: 'retry'; readonly failure: Failure}
   | {readonly kind: 'finish'; readonly failure: Failure};
--- a/src/services/dispatch/getAnswerMargin.ts
+++ b/src/services/dispatch/getAnswerMargin.ts
@@ -1,4 +1,5 @@
 import type * as entry from '../../model/entry/index.js';
+import * as messages from './DispatchMessage.js';
 
 /** Part of a request's remaining time that is reserved for returning the answer to the caller. */
 export const RETURN_RESERVE_MS = 20;
@@ -9,9 +10,6 @@
  */
 const MIN_ANSWER_MARGIN_MS = 150;
 
-/** How much longer than its time limit a request may take whose upstream does not answer. */
-const MAX_OVERTIME_MS = 400;
-
 /** How much longer than the upstream's time its answer is awaited, in milliseconds. */
 export interface AnswerMargin {
   /** Counted from when the request is sent: the upstream's time begins then, too. */
@@ -34,13 +32,16 @@
 ): AnswerMargin {
   const readDelayMs = readAtMs - arrivedAtMs;
   const callerMarginMs = callerDeadlineMs + readDelayMs - deadlineMs;
-  const overtimeMs = Math.min(readDelayMs, MAX_OVERTIME_MS);
+  const overtimeMs = Math.min(readDelayMs, messages.MAX_OVERTIME_MS);
   const wantedMs = Math.max(
     MIN_ANSWER_MARGIN_MS,
     RETURN_RESERVE_MS + overtimeMs,
   );
   return {
     afterSendMs: Math.min(callerMarginMs, wantedMs),
-    totalMs: Math.min(callerMarginMs, RETURN_RESERVE_MS + MAX_OVERTIME_MS),
+    totalMs: Math.min(
+      callerMarginMs,
+      RETURN_RESERVE_MS + messages.MAX_OVERTIME_MS,
+    ),
   };
 }
--- a/src/services/entry/EntryFlow.ts
+++ b/src/services/entry/EntryFlow.ts
@@ -32,7 +32,7 @@
   readonly route: entry.EntryRoute;
   readonly organisation: entry.EntryOrganisation | undefined;
 
-  /** Aborted when the caller disconnects. */
+  /** Aborted when the caller disconnects, and when the request is cut off. */
   readonly abandoned: AbortSignal;
 }
 
--- a/src/services/entry/EntryTask.ts
+++ b/src/services/entry/EntryTask.ts
@@ -5,6 +5,7 @@
 import type * as entry from '../../model/entry/index.js';
 import * as errors from '../../model/errors/index.js';
 import * as base from '../base/index.js';
+import * as dispatchService from '../dispatch/DispatchMessage.js';
 import * as httpService from '../http/index.js';
 import * as knowledgeService from '../knowledge/KnowledgeMessage.js';
 import type * as logs from '../logs/LogMessage.js';
@@ -25,12 +26,16 @@
 /** How long a stopping process still accepts connections, so that callers have time to switch to other VMs. */
 const DEREGISTRATION_DELAY_MS = 3000;
 
-/** Part of the grace period, at its end, into which the deadline of no request may reach that is still admitted. */
-const DEADLINE_RESERVE_MS = 1200;
-
 /** Part of the grace period, at its end, in which requests still in progress are cut off and the answers are sent. */
 const CUT_OFF_RESERVE_MS = 700;
 
+/**
+ * How long before the end of the grace period the last deadline is that a request may have to be certain of an answer. An
+ * answer may come later than the deadline, but before requests are cut off.
+ */
+const DEADLINE_RESERVE_MS =
+  CUT_OFF_RESERVE_MS + dispatchService.MAX_OVERTIME_MS + 100;
+
 /** Part of the grace period, at its end, that is left to the services that stop after this one. */
 const CLOSE_RESERVE_MS = 300;
 
@@ -135,13 +140,13 @@
     const sinceMs = this.getEarliestArrivalMs();
     const getTimeBeforeEndMs = (reserveMs: number) =>
       sinceMs + Math.max(0, gracePeriodMs - reserveMs);
-    const closesAtMs = getTimeBeforeEndMs(DEADLINE_RESERVE_MS);
+    const lastDeadlineMs = getTimeBeforeEndMs(DEADLINE_RESERVE_MS);
     const steersAwayUntilMs = Math.min(
       sinceMs + DEREGISTRATION_DELAY_MS,
-      closesAtMs,
+      lastDeadlineMs,
     );
     this.stoppingSinceMs = sinceMs;
-    this.lifecycle = {kind: 'stopping', steersAwayUntilMs, closesAtMs};
+    this.lifecycle = {kind: 'stopping', steersAwayUntilMs, lastDeadlineMs};
     this.getService(membersService.MEMBERS).post({kind: 'leave'});
     await this.waitUntil(steersAwayUntilMs);
     // No new connections are accepted from here on, so that all requests in progress can finish.
@@ -152,10 +157,10 @@
     // Answers that arrived while the event loop was late are read first.
     await this.readBarrier.wait();
     for (const exchange of this.exchanges) exchange.cutOff();
-    const cutOff = await this.listener.closeWithin(
+    const closedConnections = await this.listener.closeWithin(
       getTimeBeforeEndMs(CLOSE_RESERVE_MS) - this.nowMs(),
     );
-    this.log('info', 'connectionsClosed', {...cutOff});
+    this.log('info', 'connectionsClosed', {...closedConnections});
   }
 
   protected override receive(message: messages.EntryMessage): void {
@@ -284,8 +289,9 @@
         retryAtMs:
           error.kind === 'overloaded' ? this.shedder.getRetryAtMs() : undefined,
       });
+    } finally {
+      this.exchanges.delete(exchange);
     }
-    this.exchanges.delete(exchange);
     this.observe('request_ms', this.nowMs() - arrivedAtMs);
     this.recordUndelivered(exchange, head.requestId);
   }
--- a/src/services/http/HttpListener.ts
+++ b/src/services/http/HttpListener.ts
@@ -16,9 +16,10 @@
 
 /** The connections that a listener closed at once. */
 export interface ClosedConnections {
+  /** Includes those that only waited for their callers to close as well. */
   readonly connectionCount: number;
 
-  /** The bytes that had been written to the connections and not been sent. */
+  /** The bytes that had been written to the connections and that the system had not taken yet. */
   readonly unsentBytes: number;
 }
 
--- a/src/services/http/ServerConnection.ts
+++ b/src/services/http/ServerConnection.ts
@@ -3,10 +3,10 @@
 import * as timers from './ReadTimer.js';
 
 /**
- * How long a connection is still read from after everything has been sent on it. Closing it while bytes of the caller
- * are unread would reset it, and a reset discards what the caller has not read yet.
+ * How long a connection is still read from after the system has taken everything that was written to it. Closing it while
+ * bytes of the caller are unread would reset it, and a reset discards what has not reached the caller yet.
  */
-const LINGER_MS = 2000;
+const LINGER_MS = 5000;
 
 /** How long nothing may have arrived on a connection that counts as idle: a request may have been read in part. */
 const QUIET_MS = 200;
@@ -25,7 +25,7 @@
     socket.destroySoon = () => this.linger();
   }
 
-  /** The number of bytes that were written to the connection and have not been sent. */
+  /** The number of bytes that were written to the connection and that the system has not taken yet. */
   get unsentBytes(): number {
     return this.socket.writableLength;
   }
--- a/test/decisions/shutdown/isAdmittedWhileStopping.test.ts
+++ b/test/decisions/shutdown/isAdmittedWhileStopping.test.ts
@@ -5,7 +5,7 @@
 const STOPPING: decisions.Lifecycle = {
   kind: 'stopping',
   steersAwayUntilMs: 3000,
-  closesAtMs: 5000,
+  lastDeadlineMs: 5000,
 };
 
 void test.describe('isAdmittedWhileStopping', () => {
