Close a connection of the daemon only after the answer to its last request

Callers of the daemon that pipeline lost answers in a planned stop: the first answer closed the connection, and the answers to requests behind it, which had run or were running, were dropped.

Cause: while it stopped, the listener announced the close on the answer to every request that had arrived since. The answers to /-/steer and /-/health were, in addition, written before the requests behind them had been parsed.

As in the entry program, only the answer to the last request received closes a connection now; the steering and health answers count as requests and wait until what has arrived with them is read. Closing the callers' listener is bounded by the longest time limit of a route and 30 s for sending; it had no bound, so that an upload that stood still could keep the daemon from exiting.

The bound of an upload that stands still on the callers' listener has no test.

--- a/src/services/callers/CallersTask.ts
+++ b/src/services/callers/CallersTask.ts
@@ -12,6 +12,7 @@
 import * as fleetViews from '../fleet/FleetView.js';
 import * as httpService from '../http/index.js';
 import type * as messages from './CallersMessage.js';
+import * as exchanges from './PipelinedExchange.js';
 import * as refusals from './RefusalLog.js';
 import * as flows from './RequestFlow.js';
 import * as resolvers from './SteeringResolver.js';
@@ -27,6 +28,9 @@
  */
 const DRAIN_DURATION_MS = decisions.STEERING_ANSWER_TTL_MS + 500;
 
+/** How long a stop waits, after the time limits of all requests, for callers to receive their answers. */
+const SENDING_TIMEOUT_MS = 30_000;
+
 /** Owns the callers' listener: returns steering answers, forwards requests to upstreams and returns their responses. */
 export class CallersTask extends base.ServiceTask<messages.CallersMessage> {
   private readonly listener: httpService.HttpListener;
@@ -49,6 +53,8 @@
     configurations.EMPTY_CONFIGURATION;
   private fleetView: fleetViews.FleetView | undefined;
   private requestFlow: flows.RequestFlow | undefined;
+  private isStopping = false;
+  private closed: Promise<void> | undefined;
 
   /** @param address The address on which the callers' listener accepts connections. */
   constructor(address: codecs.ListenAddress) {
@@ -72,7 +78,15 @@
         ),
       ),
     );
-    app.get('/-/health', event => this.getHealth(event));
+    app.get(
+      '/-/health',
+      h3.fromNodeHandler((request, response) =>
+        this.handleHealth(
+          request as http.IncomingMessage,
+          response as http.ServerResponse,
+        ),
+      ),
+    );
     app.all(
       '/**',
       h3.fromNodeHandler((request, response) =>
@@ -102,7 +116,8 @@
   }
 
   protected override async onStop(): Promise<void> {
-    await this.listener.close();
+    this.isStopping = true;
+    await this.closeListener();
   }
 
   protected override receive(message: messages.CallersMessage): void {
@@ -126,10 +141,10 @@
         message.reply(this.refusals.get(message.organisationId));
         return;
       case 'drain':
-        this.listener.startClosing();
+        this.isStopping = true;
         this.getContext().timers.after(
           DRAIN_DURATION_MS,
-          () => void this.listener.close().then(message.reply),
+          () => void this.closeListener().then(message.reply),
         );
         return;
       default:
@@ -137,6 +152,21 @@
     }
   }
 
+  /** Accepts no more connections and closes each one once its requests are answered; repeated calls share one result. */
+  private closeListener(): Promise<void> {
+    this.closed ??= this.closeConnections();
+    return this.closed;
+  }
+
+  private async closeConnections(): Promise<void> {
+    const routes = Object.values(this.configuration.document.routes);
+    const longestBudgetMs = Math.max(0, ...routes.map(route => route.budgetMs));
+    const cutOff = await this.listener.closeWithin(
+      longestBudgetMs + SENDING_TIMEOUT_MS,
+    );
+    this.log('info', 'connectionsClosed', {...cutOff});
+  }
+
   private setConfiguration(configuration: configurations.Configuration): void {
     const {document} = configuration;
     this.configuration = configuration;
@@ -148,51 +178,68 @@
     this.steeringResolver.setDocument(document);
   }
 
-  private getHealth(event: h3.H3Event): object {
+  private async handleHealth(
+    incoming: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): Promise<void> {
+    const exchange = this.beginExchange(incoming, response);
+    await this.readBarrier.wait();
     const isFresh = fleetViews.isFresh(this.fleetView, this.getContext().clock);
-    event.res.status = isFresh ? HTTP_OK : HTTP_UNAVAILABLE;
     const configurationVersion = this.configuration.version;
     const slotCount = this.fleetView?.controlledSlots.length ?? 0;
-    return {isFresh, configurationVersion, slotCount};
+    exchange.beginAnswer(this.isStopping);
+    writers.writeJson(response, isFresh ? HTTP_OK : HTTP_UNAVAILABLE, {
+      isFresh,
+      configurationVersion,
+      slotCount,
+    });
+    exchange.end();
   }
 
-  private handleSteer(
-    request: http.IncomingMessage,
+  private async handleSteer(
+    incoming: http.IncomingMessage,
     response: http.ServerResponse,
-  ): void {
-    const clientAddress = getClientAddress(request);
-    const answer = this.steer(clientAddress, this.getOrganisationId(request));
+  ): Promise<void> {
+    const exchange = this.beginExchange(incoming, response);
+    await this.readBarrier.wait();
+    const clientAddress = getClientAddress(incoming);
+    const answer = this.steer(clientAddress, this.getOrganisationId(incoming));
     this.count('steering_answers');
-    response.writeHead(HTTP_OK, {'content-type': 'application/json'});
-    response.end(JSON.stringify(answer));
+    exchange.beginAnswer(this.isStopping);
+    writers.writeJson(response, HTTP_OK, answer);
+    exchange.end();
   }
 
   /** Returns one steering answer for each caller address in the request body, in the same order. */
   private async handleSteerBatch(
-    request: http.IncomingMessage,
+    incoming: http.IncomingMessage,
     response: http.ServerResponse,
   ): Promise<void> {
+    const exchange = this.beginExchange(incoming, response);
     try {
-      const {bytes, release} = await httpService.readBody(request, response, {
+      const {bytes, release} = await httpService.readBody(incoming, response, {
         maxBytes: httpService.MAX_BODY_BYTES,
         memory: this.bodyMemory,
       });
       release();
+      await this.readBarrier.wait();
       const {addresses} = codecs.parseJsonOrThrow(
         codecs.steeringBatchSchema,
         bytes.toString('utf8'),
         'invalidRequest',
       );
-      const organisationId = this.getOrganisationId(request);
+      const organisationId = this.getOrganisationId(incoming);
       const answers = addresses.map(address =>
         this.steer(address, organisationId),
       );
       this.count('steering_answers');
-      response.writeHead(HTTP_OK, {'content-type': 'application/json'});
-      response.end(JSON.stringify({answers}));
+      exchange.beginAnswer(this.isStopping);
+      writers.writeJson(response, HTTP_OK, {answers});
     } catch (thrown) {
+      exchange.beginAnswer(this.isStopping);
       this.sendError(response, crypto.randomUUID(), errors.toError(thrown));
     }
+    exchange.end();
   }
 
   /** Gets the id of the organisation that owns the API key of a request; an empty string when there is no valid key. */
@@ -224,23 +271,32 @@
   ): Promise<void> {
     const startedAtMs = this.nowMs();
     const requestId = crypto.randomUUID();
-    const connection = this.callerConnections.get(incoming.socket);
-    const abortController = connection.addRequest();
+    const exchange = this.beginExchange(incoming, response);
     try {
       const result = await this.readAndRun(
         incoming,
         response,
         requestId,
-        abortController.signal,
+        exchange.abandoned,
       );
+      exchange.beginAnswer(this.isStopping);
       await this.writeResult(response, incoming, requestId, result);
     } catch (thrown) {
+      exchange.beginAnswer(this.isStopping);
       this.sendError(response, requestId, errors.toError(thrown));
     }
-    connection.endRequest(abortController);
+    exchange.end();
     this.observe('request_ms', this.nowMs() - startedAtMs);
   }
 
+  private beginExchange(
+    incoming: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): exchanges.PipelinedExchange {
+    const connection = this.callerConnections.get(incoming.socket);
+    return new exchanges.PipelinedExchange(connection, response);
+  }
+
   /** Reads the body of a request, unless the head is enough to refuse it, and runs the request. */
   private async readAndRun(
     incoming: http.IncomingMessage,
--- a/src/services/callers/writeAnswer.ts
+++ b/src/services/callers/writeAnswer.ts
@@ -54,6 +54,16 @@
   }
 }
 
+/** Sends a value as JSON. */
+export function writeJson(
+  response: http.ServerResponse,
+  httpStatus: number,
+  value: object,
+): void {
+  response.writeHead(httpStatus, {'content-type': 'application/json'});
+  response.end(JSON.stringify(value));
+}
+
 /** Sends the stored answer of an earlier attempt of the same request, marked with the replay header. */
 export function writeStoredAnswer(
   response: http.ServerResponse,
