Let the two front ends alone decide which answer closes a connection

Both front ends decide by the last request received; the other listeners' connections are closed once they are idle.

Closing connections are read from for three seconds, not five: PlannedStop.test.ts 'ends although connections have sent no whole request' was red with five (killed at its limit of 8 s), as a daemon steers callers away for 3.5 s before.

--- a/src/services/callers/PipelinedExchange.ts
+++ b/src/services/callers/PipelinedExchange.ts
@@ -30,12 +30,9 @@
   beginAnswer(shouldClose: boolean): void {
     const {response} = this;
     if (!shouldClose || response.headersSent) return;
-    if (this.connection.isLastRequest(this.controller)) {
-      this.connection.setClosing();
-      response.setHeader('connection', 'close');
-    } else {
-      response.removeHeader('connection');
-    }
+    if (!this.connection.isLastRequest(this.controller)) return;
+    this.connection.setClosing();
+    response.setHeader('connection', 'close');
   }
 
   /** Marks the request as answered. */
--- a/src/services/entry/CallerExchange.ts
+++ b/src/services/entry/CallerExchange.ts
@@ -72,8 +72,6 @@
     if ((shouldClose && isLastRequest) || hasLongRest) {
       this.connection.setClosing();
       answerHeaders.push('connection', 'close');
-    } else {
-      response.removeHeader('connection');
     }
     response.writeHead(httpStatus, answerHeaders);
     if (hasLongRest) httpService.endBeforeBody(response, body);
--- a/src/services/http/HttpListener.ts
+++ b/src/services/http/HttpListener.ts
@@ -27,13 +27,11 @@
 export class HttpListener {
   private readonly server: servers.HttpServer;
   private readonly address: settings.ListenAddress;
-  private isClosing = false;
 
   /** @param handler Answers each request. */
   constructor(address: settings.ListenAddress, handler: http.RequestListener) {
     this.address = address;
     this.server = new servers.HttpServer((request, response) => {
-      if (this.isClosing) response.setHeader('connection', 'close');
       // Nobody needs the rest of a body after the answer, and parsing it would take processor time from others.
       response.once('finish', () => {
         if (rest.hasLongRest(request))
@@ -80,14 +78,8 @@
     this.server.headersTimeout = headersTimeoutMs;
   }
 
-  /** Makes each further answer close its connection, so that callers disconnect. */
-  startClosing(): void {
-    this.isClosing = true;
-  }
-
   /** Stops accepting connections, and closes each one once the answers to its requests have been sent. */
   async close(): Promise<void> {
-    this.isClosing = true;
     await new Promise<void>(resolve => this.server.close(() => resolve()));
   }
 
--- a/src/services/http/ServerConnection.ts
+++ b/src/services/http/ServerConnection.ts
@@ -6,7 +6,7 @@
  * How long a connection is still read from after the system has taken everything that was written to it. Closing it while
  * bytes of the caller are unread would reset it, and a reset discards what has not reached the caller yet.
  */
-const LINGER_MS = 5000;
+const LINGER_MS = 3000;
 
 /** How long nothing may have arrived on a connection that counts as idle: a request may have been read in part. */
 const QUIET_MS = 200;
