--- a/src/services/members/MembersTask.ts
+++ b/src/services/members/MembersTask.ts
@@ -29,7 +29,7 @@
 /** The delay in milliseconds before a failed call to the store is retried while no rows have been read. */
 const RETRY_DELAY_MS = 400;
 
-/** How long after its request the removal of this VM's row is waited for at the end of a stop. */
+/** How long a stop waits for the store to remove this VM's row, counted from the request. */
 const REMOVAL_TIMEOUT_MS = 1000;
 
 /** How often peers are told of an upstream that leaves; datagrams can get lost. */
