--- a/deploy/bundle.js
+++ b/deploy/bundle.js
@@ -1,10 +1,17 @@
 // Usage: node deploy/bundle.js ENTRY_POINT OUT_FILE
+import * as path from 'node:path';
 import * as process from 'node:process';
 import * as esbuild from 'esbuild';
 
-/** What CommonJS packages call to get Node.js's own modules. */
-const BANNER =
-  "import {createRequire} from 'node:module'; const require = createRequire(import.meta.url);";
+/** Bundles the used parts of a package in place of its index. */
+const usedParts = {
+  name: 'used-parts',
+  setup(build) {
+    build.onResolve({filter: /^undici$/}, () => ({
+      path: path.join(import.meta.dirname, 'undici.js'),
+    }));
+  },
+};
 
 const [entryPoint, outfile] = process.argv.slice(2);
 
@@ -14,7 +21,10 @@
   bundle: true,
   platform: 'node',
   target: 'node20',
-  format: 'esm',
-  banner: {js: BANNER},
+  // V8 caches the code of scripts, not of modules.
+  format: 'cjs',
+  plugins: [usedParts],
   logLevel: 'warning',
+  // An import that a replaced package does not export must fail the build, not the program.
+  logOverride: {'import-is-undefined': 'error'},
 });
--- a/src/services/http/writeAnswer.ts
+++ b/src/services/http/writeAnswer.ts
@@ -1,16 +1,13 @@
 import type * as http from 'node:http';
 
-/**
- * Answers a request that the process serves itself.
- *
- * @param json The body as JSON; without it the body is empty.
- */
+/** Answers a request that the process serves itself; without `body`, the answer has an empty one. */
 export function writeAnswer(
   response: http.ServerResponse,
   httpStatus: number,
-  json = '',
+  body = '',
+  contentType = 'application/json',
 ): void {
-  const headers = ['content-length', String(Buffer.byteLength(json))];
-  if (json !== '') headers.push('content-type', 'application/json');
-  response.writeHead(httpStatus, headers).end(json);
+  const headers = ['content-length', String(Buffer.byteLength(body))];
+  if (body !== '') headers.push('content-type', contentType);
+  response.writeHead(httpStatus, headers).end(body);
 }
--- a/src/services/metrics/MetricsTask.ts
+++ b/src/services/metrics/MetricsTask.ts
@@ -1,11 +1,18 @@
-import * as h3 from 'h3';
-import * as hdr from 'hdr-histogram-js';
+import type * as http from 'node:http';
+import type * as hdr from 'hdr-histogram-js';
+import * as builders from 'hdr-histogram-js/dist/HistogramBuilder.js';
 import type * as settings from '../../codecs/settings/index.js';
 import * as kernel from '../../kernel/index.js';
 import * as errors from '../../model/errors/index.js';
-import * as http from '../http/index.js';
+import * as httpService from '../http/index.js';
 import type * as messages from './MetricsMessage.js';
 
+const METRICS_PATH = '/metrics';
+const CONTENT_TYPE = 'text/plain; version=0.0.4';
+
+const HTTP_OK = 200;
+const HTTP_NOT_FOUND = 404;
+
 const PERCENTILES: readonly number[] = [50, 90, 99, 99.9];
 const PERCENT = 100;
 
@@ -17,7 +24,7 @@
 
 /** Collects counters and histograms and serves them in the Prometheus text format on the metrics listener. */
 export class MetricsTask extends kernel.Task<messages.MetricsMessage> {
-  private readonly listener: http.HttpListener;
+  private readonly listener: httpService.HttpListener;
   private readonly counters = new Map<string, number>();
   private readonly histograms = new Map<string, hdr.Histogram>();
 
@@ -25,16 +32,14 @@
    * @param address The address of the metrics listener.
    * @param memory Bounds what the listeners of the process hold.
    */
-  constructor(address: settings.ListenAddress, memory?: http.AnswerMemory) {
+  constructor(
+    address: settings.ListenAddress,
+    memory?: httpService.AnswerMemory,
+  ) {
     super();
-    const app = new h3.H3();
-    app.get('/metrics', event => {
-      event.res.headers.set('content-type', 'text/plain; version=0.0.4');
-      return this.getText();
-    });
-    this.listener = new http.HttpListener(
+    this.listener = new httpService.HttpListener(
       address,
-      h3.toNodeHandler(app),
+      (request, response) => this.answer(request, response),
       memory,
     );
   }
@@ -70,10 +75,20 @@
     }
   }
 
+  private answer(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): void {
+    const [path] = httpService.getRequestTarget(request).split('?');
+    if (request.method === 'GET' && path === METRICS_PATH)
+      httpService.writeAnswer(response, HTTP_OK, this.getText(), CONTENT_TYPE);
+    else httpService.writeAnswer(response, HTTP_NOT_FOUND);
+  }
+
   private getHistogram(name: string): hdr.Histogram {
     const existing = this.histograms.get(name);
     if (existing !== undefined) return existing;
-    const histogram = hdr.build({numberOfSignificantValueDigits: 3});
+    const histogram = builders.build({numberOfSignificantValueDigits: 3});
     this.histograms.set(name, histogram);
     return histogram;
   }
--- a/test/platform/EntryFleet.ts
+++ b/test/platform/EntryFleet.ts
@@ -61,6 +61,9 @@
   /** The path of the entry program. */
   readonly program?: string;
 
+  /** The arguments of the entry program. */
+  readonly programArguments?: readonly string[];
+
   /** The limit of each process's heap in MiB; the runtime's own limit when omitted. */
   readonly heapMb?: number;
 
@@ -385,10 +388,10 @@
 }
 
 function startProcess(
-  {program = PROGRAM, heapMb}: FleetOptions,
+  {program = PROGRAM, programArguments = [], heapMb}: FleetOptions,
   settingsFile: string,
 ): processes.ManagedProcess {
-  return new processes.ManagedProcess(program, [], {
+  return new processes.ManagedProcess(program, programArguments, {
     BRAMLEYRUN_SETTINGS: settingsFile,
     ...(heapMb === undefined
       ? {}
