--- a/src/services/shares/SharesTask.ts
+++ b/src/services/shares/SharesTask.ts
@@ -176,7 +176,7 @@
     if (members?.isPeerCountKnown !== true) return;
     const memberCount = members.peerCount + 1;
     const {isConnected} = members;
-    const reports = peerUses.getMatchingReports(
+    const uses = peerUses.getPeerUses(
       members.peerStatuses,
       this.organisationsDigest,
     );
@@ -188,7 +188,7 @@
       const peerUse: shares.PeerUse = {
         memberCount,
         isConnected,
-        ...peerUses.getPeerUse(reports, index),
+        ...peerUses.getPeerUse(uses, index),
       };
       this.shares
         .get(organisationId)
--- a/test/services/shares/collectedShares.test.ts
+++ b/test/services/shares/collectedShares.test.ts
@@ -144,7 +144,7 @@
           to.members = decisions.setHeardMembers(to.members, heard, nowMs);
         },
       );
-    const reports = peerUses.getMatchingReports(
+    const reports = peerUses.getPeerUses(
       vm.collector.getPeerStatuses(vm.members, nowMs),
       DIGEST,
     );
