--- a/src/services/dispatch/UpstreamRegistry.ts
+++ b/src/services/dispatch/UpstreamRegistry.ts
@@ -49,6 +49,9 @@
     string,
     readonly decisions.RankableRegion[]
   >();
+
+  /** The usable upstreams by service, as far as they have been asked for since one of them changed. */
+  private readonly usable = new Map<string, readonly states.UpstreamState[]>();
   private readonly shares = new Map<string, decisions.RegionShares>();
   private readonly answerMemory: httpService.BodyMemory;
   private readonly formerHolds = new formerHolds.FormerHolds();
@@ -333,24 +336,32 @@
     getCapacity: (state: states.UpstreamState) => number,
   ): ReadonlyMap<string, number> {
     const capacities = new Map<string, number>();
-    for (const {state} of this.upstreams.values()) {
-      const {record} = state;
-      if (record.serviceId !== serviceId || !this.isUsable(state)) continue;
-      const regionCapacity = capacities.get(record.region) ?? 0;
-      capacities.set(record.region, regionCapacity + getCapacity(state));
+    for (const state of this.getUsable(serviceId)) {
+      const {region} = state.record;
+      const regionCapacity = capacities.get(region) ?? 0;
+      capacities.set(region, regionCapacity + getCapacity(state));
     }
     return capacities;
   }
 
+  private getUsable(serviceId: string): readonly states.UpstreamState[] {
+    const known = this.usable.get(serviceId);
+    if (known !== undefined) return known;
+    const usable = [...this.upstreams.values()]
+      .map(({state}) => state)
+      .filter(
+        state => state.record.serviceId === serviceId && this.isUsable(state),
+      );
+    this.usable.set(serviceId, usable);
+    return usable;
+  }
+
   private *getHolds({
     serviceId,
     homeRegions,
   }: RankQuery): Generator<decisions.UpstreamHold> {
-    for (const {state} of this.upstreams.values()) {
-      const {record} = state;
-      if (record.serviceId !== serviceId || !this.isUsable(state)) continue;
-      if (homeRegions?.includes(record.region) ?? true) yield state.hold;
-    }
+    for (const {record, hold} of this.getUsable(serviceId))
+      if (homeRegions?.includes(record.region) ?? true) yield hold;
   }
 
   private setRecord(
@@ -406,9 +417,8 @@
     const capacities = this.getCapacities(serviceId);
     const shares = this.shares.get(serviceId);
     const regions = new Map<string, decisions.RankableUpstream[]>();
-    for (const {state} of this.upstreams.values()) {
+    for (const state of this.getUsable(serviceId)) {
       const {record, upstreamId, hash} = state;
-      if (record.serviceId !== serviceId || !this.isUsable(state)) continue;
       if (homeRegions !== undefined && !homeRegions.includes(record.region))
         continue;
       if (!isCandidate(state)) continue;
@@ -429,7 +439,9 @@
     });
   }
 
+  /** Forgets what depends on which upstreams are usable and on the shares. */
   private clearRankings(): void {
+    this.usable.clear();
     this.rankings.clear();
     this.candidates.clear();
   }
