Spread the followers' own reads over what the bound leaves

A follower read the store itself 300 ms after an announcement was overdue. The reads are now spread from 300 to 750 ms, as they were while readers say that the store is unavailable; a read that takes 900 ms still ends within the bound of 3,000 ms.

--- a/src/decisions/readers/getOwnReadAtMs.ts
+++ b/src/decisions/readers/getOwnReadAtMs.ts
@@ -1,4 +1,4 @@
-/** How much older than a reader's interval rows become before a VM reads the store itself. */
+/** How much older than a reader's interval rows become at least before a VM reads the store itself. */
 export const READER_LATENESS_MS = 300;
 
 /** The interval of one VM's tries while readers say that the store is unavailable. */
@@ -32,15 +32,13 @@
 }
 
 /**
- * Gets the monotonic time in milliseconds at which a VM that follows readers reads the store itself. While readers say
- * that the store is unavailable, VMs try once per second, each at its own phase. Their first tries are spread over what the bound leaves, so
- * that a store that is unavailable to the readers only is still read in time by the others.
+ * Gets the monotonic time in milliseconds at which a VM that follows readers reads the store itself. The VMs' reads are
+ * spread over what the bound leaves: an announcement that is a little late, as on a VM that is behind, then makes few VMs
+ * read, and a store that is unavailable to the readers only is still read in time by the others. While readers say that
+ * the store is unavailable, VMs try once per second, each at its own phase.
  */
 export function getOwnReadAtMs(table: FollowedTable): number {
   const {currentAtMs, triedAtMs, readerIntervalMs, maxDelayMs} = table;
-  const dueAtMs = currentAtMs + readerIntervalMs + READER_LATENESS_MS;
-  if (!table.isStoreUnavailable)
-    return Math.max(dueAtMs, triedAtMs + table.retryIntervalMs);
   const spreadMs = Math.max(
     0,
     Math.min(
@@ -48,9 +46,16 @@
       maxDelayMs - readerIntervalMs - READER_LATENESS_MS - READ_RESERVE_MS,
     ),
   );
+  const dueAtMs =
+    currentAtMs +
+    readerIntervalMs +
+    READER_LATENESS_MS +
+    table.phase * spreadMs;
   return Math.max(
-    dueAtMs + table.phase * spreadMs,
-    getNextAtPhase(triedAtMs, table.phase),
+    dueAtMs,
+    table.isStoreUnavailable
+      ? getNextAtPhase(triedAtMs, table.phase)
+      : triedAtMs + table.retryIntervalMs,
   );
 }
 
