Pool part of a limit at its lender while all VMs are starting

For 6.2 s after a restart of all VMs each VM admitted an equal share of every limit, whatever its callers asked.

From 1.5 s after their start on, VMs that hear only VMs that have started as recently admit 0.4 of the rate in equal shares and borrow the rest from the organisation's lender. The sum stays the rate. A lender counts only the part of the fleet that it hears, and lends nothing after a pause of its process.

The tests of the window's bound, with restarts of all VMs and surges, hold as before.

--- a/src/services/shares/OrganisationShare.ts
+++ b/src/services/shares/OrganisationShare.ts
@@ -31,6 +31,16 @@
 /** The fraction of the burst that all VMs together may admit shortly after a start or without statuses of peers. */
 const UNINFORMED_BURST_FRACTION = 0.5;
 
+/**
+ * The part of the rate that the lender lends while all VMs have started less than a window ago. A VM's equal share of
+ * the rate fits no uneven demand: after all VMs of a fleet had restarted, a sixth of the requests were refused for
+ * limits of which little was used. The rest is admitted in equal shares.
+ */
+const POOLED_RATE_FRACTION = 0.6;
+
+/** How long in milliseconds after its start a VM pools: the VMs have then heard of each other and agree on the lender. */
+const POOL_DELAY_MS = 1500;
+
 /** The window over which limits are enforced, and by how much the requests within it may exceed them. */
 export type LimitBounds = Pick<
   entry.EntryBounds,
@@ -41,6 +51,9 @@
 export interface PeerUse extends decisions.FleetUsage {
   /** Whether this VM has recently received the status of any peer, or has no peers. */
   readonly isConnected: boolean;
+
+  /** Whether this VM is the organisation's lender, as far as it knows; matters only while it is warming up. */
+  readonly isLender: boolean;
 }
 
 /** The values of a log line about a limit: counts of requests in the last window, demands in requests a second. */
@@ -83,6 +96,7 @@
   private admissionMode: AdmissionMode = {kind: 'starting'};
   private bucket: decisions.TokenBucket;
   private lentCount = 0;
+  private lendUntilMs = -Infinity;
   private fleetCount = 0;
   private fleetDemandPerSecond = 0;
   private lentSinceUpdateCount = 0;
@@ -151,6 +165,11 @@
     return nowMs - this.startedAtMs >= this.bounds.limitWindowMs;
   }
 
+  /** Returns whether this VM started so recently that it uses an equal share of the limit. */
+  isWarmingUp(nowMs: number): boolean {
+    return !this.isComplete(nowMs - USE_EXCHANGE_MS);
+  }
+
   /** Updates the measured demand of this VM's callers, and returns this VM's use of the limit. */
   measure(nowMs: number): entry.LimitUse {
     const previousDemandPerSecond = this.demandPerSecond;
@@ -184,7 +203,8 @@
     this.borrowedCount = 0;
     const {memberCount} = peerUse;
     const equalRatePerSecond = this.limitPerSecond / memberCount;
-    const isWarmingUp = !this.isComplete(nowMs - USE_EXCHANGE_MS);
+    const isWarmingUp = this.isWarmingUp(nowMs);
+    this.lendUntilMs = nowMs + ALLOWANCE_TERM_MS;
     if (isWarmingUp || !peerUse.isConnected) {
       const {burstRequests} = this.organisation;
       const burstCount =
@@ -192,12 +212,21 @@
       const startSlackCount = isWarmingUp
         ? (START_SLACK_FRACTION * this.bounds.limitSlack) / memberCount
         : 0;
+      const pooledFraction = this.isPooled(peerUse, nowMs)
+        ? POOLED_RATE_FRACTION
+        : 0;
       this.startUninformedMode(
-        equalRatePerSecond,
+        equalRatePerSecond * (1 - pooledFraction),
         burstCount + startSlackCount,
         startSlackCount,
         nowMs,
       );
+      this.lentCount = peerUse.isLender
+        ? Math.floor(
+            this.limitPerSecond * pooledFraction * getHeardFraction(peerUse) +
+              randomFraction,
+          )
+        : 0;
       return;
     }
     const fullWindowUses = [this.getUse(nowMs), ...peerUse.fullWindowUses];
@@ -259,18 +288,11 @@
 
   /** Lends up to `wantedCount` requests to a VM that has used up its share; returns how many. */
   lend(wantedCount: number, nowMs: number): number {
-    if (this.hasAllowanceExpired(nowMs)) return 0;
-    switch (this.admissionMode.kind) {
-      case 'informed': {
-        const count = Math.max(0, Math.min(wantedCount, this.lentCount));
-        this.lentCount -= count;
-        this.lentSinceUpdateCount += count;
-        return count;
-      }
-      case 'starting':
-      case 'uninformed':
-        return 0;
-    }
+    if (nowMs >= this.lendUntilMs) return 0;
+    const count = Math.max(0, Math.min(wantedCount, this.lentCount));
+    this.lentCount -= count;
+    this.lentSinceUpdateCount += count;
+    return count;
   }
 
   /** Gets the limit's use, for log lines. */
@@ -297,6 +319,23 @@
     }
   }
 
+  /**
+   * Whether part of the rate is pooled at the lender: all VMs that are heard have started less than a window ago. VMs
+   * that have run for longer lend by what they know of the window.
+   */
+  private isPooled(
+    {isConnected, fullWindowUses, partialWindowUses}: PeerUse,
+    nowMs: number,
+  ): boolean {
+    return (
+      isConnected &&
+      this.isWarmingUp(nowMs) &&
+      nowMs - this.startedAtMs >= POOL_DELAY_MS &&
+      fullWindowUses.length === 0 &&
+      partialWindowUses.length > 0
+    );
+  }
+
   private updateFleetTotals(uses: readonly entry.LimitUse[]): void {
     this.fleetCount = 0;
     this.fleetDemandPerSecond = 0;
@@ -354,7 +393,7 @@
         break;
     }
     this.admissionMode = {kind: 'uninformed', ratePerSecond, burstCount};
-    this.lentCount = 0;
+    this.lentSinceUpdateCount = 0;
   }
 
   private refill(
@@ -373,3 +412,15 @@
     );
   }
 }
+
+/**
+ * Gets the fraction of the fleet that this VM hears, with itself. Where a fleet is cut in two, each part has a lender,
+ * which lends for its own part only.
+ */
+function getHeardFraction({memberCount, partialWindowUses}: PeerUse): number {
+  const heardCount = partialWindowUses.reduce(
+    (sum, {vmCount = 1}) => sum + vmCount,
+    1,
+  );
+  return Math.min(1, heardCount / memberCount);
+}
--- a/src/services/shares/SharesTask.ts
+++ b/src/services/shares/SharesTask.ts
@@ -184,15 +184,15 @@
       index,
       organisationId,
     ] of this.limitedOrganisationIds.entries()) {
-      if (!isChosen(organisationId)) continue;
+      const share = this.shares.get(organisationId);
+      if (share === undefined || !isChosen(organisationId)) continue;
       const peerUse: shares.PeerUse = {
         memberCount,
         isConnected,
+        isLender: share.isWarmingUp(nowMs) && this.isLender(organisationId),
         ...peerUses.getPeerUse(uses, index),
       };
-      this.shares
-        .get(organisationId)
-        ?.update(peerUse, this.random.draw(), nowMs);
+      share.update(peerUse, this.random.draw(), nowMs);
     }
   }
 
@@ -226,6 +226,16 @@
     );
   }
 
+  private chooseLender(organisationId: string): entry.MemberRecord | undefined {
+    const servingMembers = this.members?.servingMembers ?? [];
+    return decisions.chooseLender(servingMembers, organisationId);
+  }
+
+  private isLender(organisationId: string): boolean {
+    const lender = this.chooseLender(organisationId);
+    return lender !== undefined && lender.vmId === this.members?.selfId;
+  }
+
   /** Borrows from the organisation's lender the requests that are expected soon, and at least `minCount`. */
   private borrow(organisationId: string, minCount: number): void {
     const borrowCallCount =
@@ -236,10 +246,7 @@
     const wantedCount = Math.max(minCount, share?.wantedCount ?? 1);
     const post = (lentCount: number) =>
       this.getAddress().post({kind: 'lent', organisationId, lentCount});
-    const lender = decisions.chooseLender(
-      this.members?.servingMembers ?? [],
-      organisationId,
-    );
+    const lender = this.chooseLender(organisationId);
     if (lender === undefined || lender.vmId === this.members?.selfId) {
       post(this.lend(organisationId, wantedCount));
       return;
--- a/test/services/shares/OrganisationShare.test.ts
+++ b/test/services/shares/OrganisationShare.test.ts
@@ -98,6 +98,7 @@
       fullWindowUses: [],
       partialWindowUses: [],
       isConnected: false,
+      isLender: false,
     };
     share.update(peerUse, 0, nowMs);
     return {
@@ -149,6 +150,7 @@
       fullWindowUses: getUses(publishedUse => publishedUse.isComplete),
       partialWindowUses: getUses(publishedUse => !publishedUse.isComplete),
       isConnected: reachablePeers.length > 0,
+      isLender: index === LENDER_INDEX,
     };
     vm.share.update(peerUse, drawFraction(), nowMs);
   };
@@ -253,6 +255,19 @@
   [100, 400],
 ];
 
+const RESTART_FLEETS: readonly (readonly [number, number])[] = [
+  [7, 39],
+  [33, 60],
+  [105, 30],
+];
+
+/** When all VMs restart, and how much later they have heard of each other and of their lender. */
+const RESTART_AT_MS = 12_000;
+const POOLED_FROM_MS = 2500;
+
+/** The least fraction of uneven demand within the limit that is admitted then. */
+const MIN_RESTART_FRACTION = 0.9;
+
 const SURGE_FLEETS: readonly (readonly [number, number])[] = [
   [7, 100],
   [7, 400],
@@ -320,6 +335,40 @@
       },
     );
 
+  // Guards against refusals far below the limit while VMs that have restarted know nothing of the window.
+  for (const [vmCount, ratePerSecond] of RESTART_FLEETS)
+    void test.it(
+      `admits uneven demand for ${ratePerSecond}/s after a restart of ${vmCount} VMs`,
+      () => {
+        let arrivedCount = 0;
+        let admittedCount = 0;
+        for (const seed of SEEDS) {
+          const base = {
+            vmCount,
+            ratePerSecond,
+            seed,
+            getDemand: () => 0.62,
+            getSkewRatio: (vm: number) => (vm % 4 === 0 ? 2.5 : 0.5),
+            getRestarts: (nowMs: number) =>
+              nowMs === RESTART_AT_MS
+                ? Array.from({length: vmCount}, (_, index) => index)
+                : [],
+          };
+          const {admittedAtMs} = simulate(base);
+          admittedCount += admittedAtMs.filter(
+            atMs =>
+              atMs >= RESTART_AT_MS + POOLED_FROM_MS &&
+              atMs < RESTART_AT_MS + WINDOW_MS,
+          ).length;
+          arrivedCount +=
+            (0.62 * ratePerSecond * (WINDOW_MS - POOLED_FROM_MS)) / 1000;
+        }
+        earl
+          .expect(admittedCount / arrivedCount)
+          .toBeGreaterThanOrEqual(MIN_RESTART_FRACTION);
+      },
+    );
+
   for (const [vmCount, ratePerSecond] of SURGE_FLEETS)
     void test.it(
       `holds the limit of ${ratePerSecond}/s over ${vmCount} VMs in a surge after low demand`,
--- a/test/services/shares/collectedShares.test.ts
+++ b/test/services/shares/collectedShares.test.ts
@@ -151,6 +151,7 @@
     const peerUse = {
       memberCount: 1 + decisions.getPossiblyServingCount(vm.members, nowMs),
       isConnected: decisions.isConnected(vm.members, nowMs),
+      isLender: vm === vms[1],
       ...peerUses.getPeerUse(reports, 0),
     };
     vm.share.update(peerUse, random.draw(), nowMs);
--- a/test/services/shares/expiredAllowance.test.ts
+++ b/test/services/shares/expiredAllowance.test.ts
@@ -31,6 +31,7 @@
       {
         memberCount: 2,
         isConnected: true,
+        isLender: true,
         fullWindowUses: [IDLE],
         partialWindowUses: [],
       },
