Publish the members of a large fleet twice a second

With one publication a second, a VM whose rows are late could ask a peer for newer ones up to 3 s after its rows were current, which is the bound on leaving upstreams; found by reading. Tests: a status that is sent after the VM began to leave says so, and uses that are not counts are rejected.

--- a/src/services/members/MembersTask.ts
+++ b/src/services/members/MembersTask.ts
@@ -24,10 +24,10 @@
 const PUBLISH_INTERVAL_MS = 250;
 
 /**
- * In a large fleet, only every fourth periodic publication is made: each takes time in proportion to the number of VMs
- * on every VM, and the statuses that it reports arrive once a second.
+ * In a large fleet, only every second periodic publication is made: each takes time in proportion to the number of VMs on
+ * every VM. With one a second, a VM whose rows are late could ask a peer for newer ones too late for the bound on leaving.
  */
-const LARGE_FLEET_PUBLISH_TICKS = 4;
+const LARGE_FLEET_PUBLISH_TICKS = 2;
 
 /**
  * How long a peer that joins or leaves waits to be published, so that peers that are heard together are published
--- a/test/codecs/members/memberStatus.test.ts
+++ b/test/codecs/members/memberStatus.test.ts
@@ -100,6 +100,18 @@
       ]);
   });
 
+  // Guards against uses that would raise or lower a limit's share without end.
+  void test.it('rejects uses that are not counts', () => {
+    const status = JSON.parse(inflate(encode([]))) as {
+      params: Record<string, unknown>;
+    };
+    for (const values of [[0, -1, 0, 0], [0, '1', 0, 0], [0, null], {}, 7]) {
+      status.params['w'] = [5, true, 1, values];
+      const bytes = Buffer.from(JSON.stringify(status));
+      earl.expect(() => codecs.decodeMemberDatagram(bytes)).toThrow();
+    }
+  });
+
   void test.it('rejects a datagram that inflates to too much', () => {
     const bytes = zlib.deflateSync(Buffer.alloc(2_000_000, ' '));
     earl.expect(() => codecs.decodeMemberDatagram(bytes)).toThrow();
--- a/test/services/members/PeerSender.test.ts
+++ b/test/services/members/PeerSender.test.ts
@@ -65,6 +65,18 @@
 }
 
 void test.describe('PeerSender', () => {
+  // Guards against a status that was encoded before the VM began to leave.
+  void test.it('says that the VM leaves after it sent a status', () => {
+    const vm = new SendingVm();
+    vm.sender.sendStatus();
+    vm.presence.leave();
+    vm.sender.sendStatus();
+    const leaving = vm.sent.map(
+      ({datagram}) => datagram.kind === 'status' && datagram.status.isLeaving,
+    );
+    earl.expect(leaving).toEqual([false, false, true, true]);
+  });
+
   // Guards against datagrams that exceed one packet, and against suspect requests that are left out of them.
   void test.it('splits many suspect requests over datagrams', () => {
     const vm = new SendingVm();
