--- a/deploy/start.cjs
+++ b/deploy/start.cjs
@@ -4,7 +4,7 @@
 // 60 ms of processor time at each start. With --write-cache, loads the program, writes the cache and exits. V8 takes a
 // cache only with the Node.js version and options with which it was written; otherwise it compiles the bundle.
 const fs = require('node:fs');
-const module_ = require('node:module');
+const {createRequire, wrap} = require('node:module');
 const path = require('node:path');
 const process = require('node:process');
 const vm = require('node:vm');
@@ -18,7 +18,7 @@
     ? fs.readFileSync(cacheFile)
     : undefined;
 
-const script = new vm.Script(module_.wrap(fs.readFileSync(filename, 'utf8')), {
+const script = new vm.Script(wrap(fs.readFileSync(filename, 'utf8')), {
   filename,
   cachedData,
 });
@@ -26,11 +26,11 @@
   process.stderr.write(
     `bramleyrun: ${cacheFile} is not used by this Node.js\n`,
   );
-const exports_ = {};
+const programModule = {exports: {}};
 script.runInThisContext()(
-  exports_,
-  module_.createRequire(filename),
-  {exports: exports_},
+  programModule.exports,
+  createRequire(filename),
+  programModule,
   filename,
   path.dirname(filename),
 );
--- a/src/services/members/HeardPeers.ts
+++ b/src/services/members/HeardPeers.ts
@@ -1,3 +1,5 @@
+import type * as logs from '../logs/index.js';
+
 /** A peer of which a process, or its leaving, has been heard for the first time. */
 export interface HeardPeer {
   readonly vmId: string;
@@ -10,6 +12,9 @@
 /** Above this number, peers that are heard at about the same time are logged in one line. */
 const MAX_SEPARATE_PEERS = 8;
 
+/** Writes a log line. */
+type WriteLine = (name: logs.EventName, fields: logs.LogFields) => void;
+
 /** The peers that have been heard since they were last logged. */
 export class HeardPeers {
   private peers: HeardPeer[] = [];
@@ -20,12 +25,25 @@
   }
 
   /**
-   * Removes and returns the peers to log. They are to be logged in one line if there are many: a VM that starts in a
-   * large fleet hears a hundred within a second, and each line costs processor time.
+   * Logs the peers that have been heard since the last call, many of them in one line: a VM that starts in a large fleet
+   * hears a hundred within a second, and each line costs processor time.
    */
-  take(): {readonly peers: readonly HeardPeer[]; readonly isOneLine: boolean} {
+  log(writeLine: WriteLine): void {
     const {peers} = this;
     this.peers = [];
-    return {peers, isOneLine: peers.length > MAX_SEPARATE_PEERS};
+    if (peers.length > MAX_SEPARATE_PEERS) {
+      writeLine('membersHeard', {
+        count: peers.length,
+        peers: peers.map(({vmId}) => vmId).join(),
+      });
+      return;
+    }
+    for (const {vmId, isLeaving, collectorId} of peers)
+      writeLine('memberHeard', {
+        peer: vmId,
+        ...(collectorId === undefined
+          ? {leaving: isLeaving}
+          : {via: collectorId}),
+      });
   }
 }
--- a/src/services/members/MembersTask.ts
+++ b/src/services/members/MembersTask.ts
@@ -376,29 +376,11 @@
 
   private publish(): void {
     this.isPublicationDue = false;
-    this.logHeardPeers();
+    this.heardPeers.log((name, fields) => this.log('info', name, fields));
     this.directory.removeUnknownReports();
     this.subscribers.publish(this.directory.getMembersChanged(this.nowMs()));
   }
 
-  private logHeardPeers(): void {
-    const {peers, isOneLine} = this.heardPeers.take();
-    if (isOneLine) {
-      this.log('info', 'membersHeard', {
-        count: peers.length,
-        peers: peers.map(({vmId}) => vmId).join(),
-      });
-      return;
-    }
-    for (const {vmId, isLeaving, collectorId} of peers)
-      this.log('info', 'memberHeard', {
-        peer: vmId,
-        ...(collectorId === undefined
-          ? {leaving: isLeaving}
-          : {via: collectorId}),
-      });
-  }
-
   private waitUntil(atMs: number): Promise<void> {
     return new Promise(resolve => {
       const delayMs = Math.max(0, atMs - this.nowMs());
