--- a/test/deployment/Limits.test.ts
+++ b/test/deployment/Limits.test.ts
@@ -13,6 +13,12 @@
 /** Tolerance in tokens, because admission times are logged in whole milliseconds. */
 const ROUNDING_TOLERANCE_TOKENS = (2 * RATE_PER_SECOND) / 1000;
 
+/**
+ * What sums of floating-point numbers may differ by; an admission that is another millisecond early exceeds the tolerance
+ * by 0.04.
+ */
+const FLOAT_ERROR_TOKENS = 1e-9;
+
 type FaultName = 'none' | 'kill' | 'freeze' | 'isolate' | 'storeDown';
 
 const FAULTS: readonly FaultName[] = [
@@ -127,7 +133,11 @@
               burst: BURST_REQUESTS,
             });
             earl.expect(admittedAtMs.length).toBeGreaterThan(0);
-            earl.expect(over).toBeLessThanOrEqual(ROUNDING_TOLERANCE_TOKENS);
+            earl
+              .expect(over)
+              .toBeLessThanOrEqual(
+                ROUNDING_TOLERANCE_TOKENS + FLOAT_ERROR_TOKENS,
+              );
           },
         );
   },
