--- a/src/services/shares/OrganisationShare.ts
+++ b/src/services/shares/OrganisationShare.ts
@@ -31,16 +31,6 @@
 /** The fraction of the burst that all VMs together may admit shortly after a start or without statuses of peers. */
 const UNINFORMED_BURST_FRACTION = 0.5;
 
-/**
- * The part of the rate that the lender lends while all VMs have started less than a window ago. A VM's equal share of
- * the rate fits no uneven demand: after all VMs of a fleet had restarted, a sixth of the requests were refused for
- * limits of which little was used. The rest is admitted in equal shares.
- */
-const POOLED_RATE_FRACTION = 0.6;
-
-/** How long in milliseconds after its start a VM pools: the VMs have then heard of each other and agree on the lender. */
-const POOL_DELAY_MS = 1500;
-
 /** The window over which limits are enforced, and by how much the requests within it may exceed them. */
 export type LimitBounds = Pick<
   entry.EntryBounds,
@@ -202,7 +192,6 @@
     if (this.isUnlimited) return;
     this.borrowedCount = 0;
     const {memberCount} = peerUse;
-    const equalRatePerSecond = this.limitPerSecond / memberCount;
     const isWarmingUp = this.isWarmingUp(nowMs);
     this.lendUntilMs = nowMs + ALLOWANCE_TERM_MS;
     if (isWarmingUp || !peerUse.isConnected) {
@@ -212,21 +201,18 @@
       const startSlackCount = isWarmingUp
         ? (START_SLACK_FRACTION * this.bounds.limitSlack) / memberCount
         : 0;
-      const pooledFraction = this.isPooled(peerUse, nowMs)
-        ? POOLED_RATE_FRACTION
-        : 0;
+      const allowance = decisions.getStartAllowance({
+        ...peerUse,
+        limitPerSecond: this.limitPerSecond,
+        sinceStartMs: isWarmingUp ? nowMs - this.startedAtMs : undefined,
+      });
       this.startUninformedMode(
-        equalRatePerSecond * (1 - pooledFraction),
+        allowance.ownRatePerSecond,
         burstCount + startSlackCount,
         startSlackCount,
         nowMs,
       );
-      this.lentCount = peerUse.isLender
-        ? Math.floor(
-            this.limitPerSecond * pooledFraction * getHeardFraction(peerUse) +
-              randomFraction,
-          )
-        : 0;
+      this.lentCount = Math.floor(allowance.lentCount + randomFraction);
       return;
     }
     const fullWindowUses = [this.getUse(nowMs), ...peerUse.fullWindowUses];
@@ -319,23 +305,6 @@
     }
   }
 
-  /**
-   * Whether part of the rate is pooled at the lender: all VMs that are heard have started less than a window ago. VMs
-   * that have run for longer lend by what they know of the window.
-   */
-  private isPooled(
-    {isConnected, fullWindowUses, partialWindowUses}: PeerUse,
-    nowMs: number,
-  ): boolean {
-    return (
-      isConnected &&
-      this.isWarmingUp(nowMs) &&
-      nowMs - this.startedAtMs >= POOL_DELAY_MS &&
-      fullWindowUses.length === 0 &&
-      partialWindowUses.length > 0
-    );
-  }
-
   private updateFleetTotals(uses: readonly entry.LimitUse[]): void {
     this.fleetCount = 0;
     this.fleetDemandPerSecond = 0;
@@ -412,15 +381,3 @@
     );
   }
 }
-
-/**
- * Gets the fraction of the fleet that this VM hears, with itself. Where a fleet is cut in two, each part has a lender,
- * which lends for its own part only.
- */
-function getHeardFraction({memberCount, partialWindowUses}: PeerUse): number {
-  const heardCount = partialWindowUses.reduce(
-    (sum, {vmCount = 1}) => sum + vmCount,
-    1,
-  );
-  return Math.min(1, heardCount / memberCount);
-}
