--- a/src/decisions/load/orderDesignated.ts
+++ b/src/decisions/load/orderDesignated.ts
@@ -1,12 +1,5 @@
 import type * as placement from '../placement/choosePlacement.js';
 
-/** How the requests for an object are spread over the upstreams that are ranked for it. */
-export type LoadSpread =
-  /** The first ranked upstream gets them unless it is busy. */
-  | {readonly kind: 'first'}
-  /** Two upstreams are designated for the object; the one with the shorter expected wait gets a request. */
-  | {readonly kind: 'designated'};
-
 /** A candidate of which the load that no report counts is estimated, too. */
 export interface DesignatedCandidate extends placement.PlacementCandidate {
   /** Expected number of other VMs' requests that `busyCount` does not contain; 0 if undefined. */
--- a/src/model/entry/EntrySettings.ts
+++ b/src/model/entry/EntrySettings.ts
@@ -49,6 +49,13 @@
   /** By the priorities, objectives and time limits of the routes. */
   | {readonly kind: 'byPriority'};
 
+/** How the requests for an object are spread over the upstreams that are ranked for it. */
+export type LoadSpread =
+  /** The first ranked upstream gets them unless it is busy. */
+  | {readonly kind: 'first'}
+  /** Two upstreams are designated for the object; the one with the shorter expected wait gets a request. */
+  | {readonly kind: 'designated'};
+
 /** The settings that an entry VM's process reads at its start. */
 export interface EntrySettings {
   readonly vmId: string;
@@ -75,6 +82,7 @@
 
   readonly bounds: EntryBounds;
   readonly admission: AdmissionPolicy;
+  readonly loadSpread: LoadSpread;
 
   /** The resources of this VM; absent where the platform does not state them. */
   readonly capacity?: capacities.VmCapacity;
--- a/src/programs/entry/EntryDaemon.ts
+++ b/src/programs/entry/EntryDaemon.ts
@@ -113,11 +113,13 @@
 
   private addRequestServices(): void {
     const {settings, adapters} = this;
-    const {bounds, admission, region, failureDomain, memoryBytes} = settings;
+    const {bounds, admission, loadSpread, region, failureDomain, memoryBytes} =
+      settings;
     const dispatch = new services.DispatchTask({
       region,
       bounds,
       admission,
+      loadSpread,
       codec: adapters.wireCodec,
       seed: crypto.randomInt(2 ** 31),
       maxHeldBodyBytes: decisions.getMaxHeldBodyBytes('answer', memoryBytes),
--- a/src/services/dispatch/DispatchTask.ts
+++ b/src/services/dispatch/DispatchTask.ts
@@ -29,6 +29,7 @@
 
   /** Who gets capacity first; with `byPriority`, shares are kept in the store. */
   readonly admission: entry.AdmissionPolicy;
+  readonly loadSpread: entry.LoadSpread;
   readonly bounds: entry.EntryBounds;
   readonly codec: codecs.WireCodec;
   readonly seed: number;
@@ -57,6 +58,7 @@
     this.registry = new registries.UpstreamRegistry(
       options.codec,
       options.maxHeldBodyBytes,
+      options.loadSpread,
     );
     this.balancer = new balancers.RegionBalancer(options.region, this.registry);
     const random = new base.RandomSource(options.seed);
--- a/src/services/dispatch/UpstreamRegistry.ts
+++ b/src/services/dispatch/UpstreamRegistry.ts
@@ -56,7 +56,7 @@
   private readonly answerMemory: httpService.BodyMemory;
   private readonly formerHolds = new formerHolds.FormerHolds();
   private evacuated: ReadonlySet<string> = new Set();
-  private currentLoadSpread: decisions.LoadSpread = {kind: 'first'};
+  private readonly loadSpread: entry.LoadSpread;
   private prefersSecond = false;
   private regionPeerCount = 0;
   private readonly serviceDurationsMs = new Map<string, number>();
@@ -64,22 +64,18 @@
   /**
    * @param codec Encodes requests to upstreams and decodes their answers.
    * @param maxHeldBodyBytes The most memory in bytes that the answers may take together.
+   * @param loadSpread How requests are spread over the upstreams that are ranked for their object.
    */
-  constructor(codec: codecs.WireCodec, maxHeldBodyBytes?: number) {
+  constructor(
+    codec: codecs.WireCodec,
+    maxHeldBodyBytes?: number,
+    loadSpread: entry.LoadSpread = {kind: 'first'},
+  ) {
     this.codec = codec;
+    this.loadSpread = loadSpread;
     this.answerMemory = new httpService.BodyMemory('answer', maxHeldBodyBytes);
   }
 
-  /** How requests are spread over the upstreams that are ranked for their object. */
-  get loadSpread(): decisions.LoadSpread {
-    return this.currentLoadSpread;
-  }
-
-  /** Replaces how requests are spread over the upstreams that are ranked for their object. */
-  setLoadSpread(loadSpread: decisions.LoadSpread): void {
-    this.currentLoadSpread = loadSpread;
-  }
-
   /** Sets the number of other VMs in this VM's region, whose callers request the same objects. */
   setRegionPeerCount(count: number): void {
     this.regionPeerCount = count;
@@ -299,7 +295,7 @@
           nowMs,
         ) ?? [],
     );
-    switch (this.currentLoadSpread.kind) {
+    switch (this.loadSpread.kind) {
       case 'first':
         return views;
       case 'designated':
@@ -318,7 +314,7 @@
           this.prefersSecond,
         );
       default:
-        return errors.throwUnreachable(this.currentLoadSpread);
+        return errors.throwUnreachable(this.loadSpread);
     }
   }
 
--- a/src/services/dispatch/UpstreamSender.ts
+++ b/src/services/dispatch/UpstreamSender.ts
@@ -107,7 +107,6 @@
         } else {
           this.parts.registry.addDuration(state, nowMs - startedAtMs);
           state.addAnswer(result.load, nowMs);
-          if (result.load?.slowdown !== undefined) this.spreadLoadEvenly();
         }
         return;
       case 'shed':
@@ -139,13 +138,6 @@
     }
   }
 
-  /** Designates two upstreams for each object from now on, where answers carry the upstreams' speed. */
-  private spreadLoadEvenly(): void {
-    if (this.parts.registry.loadSpread.kind === 'designated') return;
-    this.parts.registry.setLoadSpread({kind: 'designated'});
-    this.context.log('info', 'loadSpreadChanged', {spread: 'designated'});
-  }
-
   private logAvoided(upstreamId: string, reason: string): void {
     this.context.log('warn', 'upstreamAvoided', {upstream: upstreamId, reason});
   }
--- a/src/services/logs/EventName.ts
+++ b/src/services/logs/EventName.ts
@@ -37,7 +37,6 @@
   | 'collectorsUsed'
   | 'settingsReloaded'
   | 'regionSharesMoved'
-  | 'loadSpreadChanged'
   | 'sharesStored'
   | 'sharesRestored'
   | 'upstreamRowsLate'
--- a/standins/emulator/Emulation.ts
+++ b/standins/emulator/Emulation.ts
@@ -169,13 +169,17 @@
     region: string,
     storedShares: readonly entry.StoredShares[] = [],
   ): EmulatedVm {
-    const register = new registers.UpstreamRegistry(new headers.HeaderCodec());
+    const isDesignated =
+      this.policy === 'designated' || this.policy === 'designatedPassedOn';
+    const register = new registers.UpstreamRegistry(
+      new headers.HeaderCodec(),
+      undefined,
+      {kind: isDesignated ? 'designated' : 'first'},
+    );
     register.setRecords(this.records, this.nowMs);
     const {regions, vmsPerRegion} = this.scenario;
     const vmCount = regions.find(other => other.region === region)?.vmCount;
     register.setRegionPeerCount((vmCount ?? vmsPerRegion) - 1);
-    if (this.policy === 'designated' || this.policy === 'designatedPassedOn')
-      register.setLoadSpread({kind: 'designated'});
     const balance = new balances.RegionBalancer(region, register);
     balance.setStoredShares(storedShares);
     balance.update([SERVICE_ID], [], this.nowMs);
--- a/test/platform/settings.test.ts
+++ b/test/platform/settings.test.ts
@@ -68,6 +68,18 @@
     },
   );
 
+  void test.it(
+    'designates upstreams only where the settings ask for it',
+    () => {
+      const getKind = (line: string) =>
+        settings.parsePlatformSettings(`${TEXT}${line}\n`).entry.loadSpread
+          .kind;
+      earl.expect(getKind('')).toEqual('first');
+      earl.expect(getKind('LoadSpread=even')).toEqual('first');
+      earl.expect(getKind('LoadSpread=designated')).toEqual('designated');
+    },
+  );
+
   void test.it('names the missing or invalid field in the error', () => {
     const parse = (from: string, to: string) => () =>
       settings.parsePlatformSettings(TEXT.replace(from, to));
--- a/test/services/dispatch/UpstreamRegistry.test.ts
+++ b/test/services/dispatch/UpstreamRegistry.test.ts
@@ -161,17 +161,20 @@
 
   // VMs that all prefer the same one of two unknown upstreams would overload it.
   void test.it('alternates between two designated upstreams', async () => {
-    const registry = new registries.UpstreamRegistry(new headers.HeaderCodec());
-    registry.setRecords(
-      ['a', 'b', 'c'].map(id => records.getUpstreamRecord(id)),
-      0,
-    );
-    const getFirstIds = () =>
+    const upstreams = ['a', 'b', 'c'].map(id => records.getUpstreamRecord(id));
+    const codec = new headers.HeaderCodec();
+    const first = new registries.UpstreamRegistry(codec);
+    const registry = new registries.UpstreamRegistry(codec, undefined, {
+      kind: 'designated',
+    });
+    first.setRecords(upstreams, 0);
+    registry.setRecords(upstreams, 0);
+    const getFirstIds = (spread = registry) =>
       [0, 1, 2, 3].map(
-        () => registry.getViews(['a', 'b', 'c'], '/desk/1', 0, 0)[0].upstreamId,
+        () => spread.getViews(['a', 'b', 'c'], '/desk/1', 0, 0)[0].upstreamId,
       );
-    earl.expect(getFirstIds()).toEqual(['a', 'a', 'a', 'a']);
-    registry.setLoadSpread({kind: 'designated'});
+    earl.expect(getFirstIds(first)).toEqual(['a', 'a', 'a', 'a']);
+    await first.close();
     earl.expect(getFirstIds().sort()).toEqual(['a', 'a', 'b', 'b']);
     // What this VM sends to one of them, its peers are taken to send there as well, until a report says otherwise.
     const state = registry.get('a')?.state;
