--- a/src/decisions/shares/chooseLender.ts
+++ b/src/decisions/shares/chooseLender.ts
@@ -3,7 +3,7 @@
 
 /**
  * The smallest part of the largest VM's processors with which a VM lends. Borrowers wait for an answer for a short time
- * only, and a VM with much less is often too late: organisations were refused far below their limits.
+ * only, in which a VM with much less processor time may not answer; they are then refused below the limit.
  */
 const MIN_PROCESSOR_RATIO = 1 / 3;
 
--- a/src/decisions/shares/getStartAllowance.ts
+++ b/src/decisions/shares/getStartAllowance.ts
@@ -25,7 +25,7 @@
 
 /**
  * The part of the rate that the lender lends while all VMs have started less than a window ago. A VM's equal share of
- * the rate fits no uneven demand: after all VMs of a fleet had restarted, a sixth of the requests were refused for
+ * the rate fits no uneven demand: after all VMs of a fleet had restarted, an eighth of the requests were refused for
  * limits of which little was used.
  */
 const POOLED_RATE_FRACTION = 0.6;
