Recognise a reset of an answer without a length while its request is being sent

Callers saw: a 200 with a part of its body as a complete answer, when an upstream answered a long upload at once without a length and reset the connection while the upload was still being written.

Cause: when the last bytes and the reset are read in one turn, libuv reports an end of the connection, and undici completes an answer without a length at the end. ResetMonitor brought out the pending error by an empty write. During an upload that write waits behind the bytes that are still to be sent, so the monitor saw no error and let the answer pass.

Change: if bytes are still to be sent, the end is held back until the end of the event loop turn. libuv writes what is queued in the turn in which it reports the end, so a reset shows as a failed write before undici learns of the end. Without a failure the connection did end in order. ECONNRESET is the error after a reset alone; EPIPE follows an end that came before the reset, as from an upstream that closes its connection without reading the rest. Then the answer is complete, if it has no length and all that came was read.

Weighed: taking every such answer as broken, or asking the kernel for the peer's address within the end event. A request that must not be repeated is sent once either way.

--- a/src/services/dispatch/UpstreamConnections.ts
+++ b/src/services/dispatch/UpstreamConnections.ts
@@ -283,12 +283,40 @@
   }
 
   onResponseEnd(): void {
-    const {envelope} = this;
     if (this.resetMonitor.isResetting) {
       const {phase} = this;
       this.finish({kind: 'broken', reason: 'reset within the answer', phase});
       return;
     }
+    this.finishAnswer();
+  }
+
+  onResponseError(
+    _controller: undici.Dispatcher.DispatchController | null,
+    thrown: Error,
+  ): void {
+    if (this.envelope === undefined && httpService.isUnparsable(thrown)) {
+      this.finish({kind: 'garbled'});
+      return;
+    }
+    if (
+      this.framing === 'connection' &&
+      this.resetMonitor.isOrderlyEnd(thrown)
+    ) {
+      this.finishAnswer();
+      return;
+    }
+    const reason = (thrown as {readonly code?: string}).code ?? thrown.message;
+    const wasSent = this.controller !== undefined;
+    this.finish(
+      wasSent
+        ? {kind: 'broken', reason, phase: this.phase}
+        : {kind: 'notSent', reason},
+    );
+  }
+
+  private finishAnswer(): void {
+    const {envelope} = this;
     if (envelope === undefined) {
       this.finish({kind: 'garbled'});
       return;
@@ -319,23 +347,6 @@
     }
   }
 
-  onResponseError(
-    _controller: undici.Dispatcher.DispatchController | null,
-    thrown: Error,
-  ): void {
-    if (this.envelope === undefined && httpService.isUnparsable(thrown)) {
-      this.finish({kind: 'garbled'});
-      return;
-    }
-    const reason = (thrown as {readonly code?: string}).code ?? thrown.message;
-    const wasSent = this.controller !== undefined;
-    this.finish(
-      wasSent
-        ? {kind: 'broken', reason, phase: this.phase}
-        : {kind: 'notSent', reason},
-    );
-  }
-
   private countInterim(): void {
     this.interimCount += 1;
     if (this.interimCount <= httpService.MAX_INTERIM_ANSWERS) return;
--- a/src/services/upstreams/UpstreamClient.ts
+++ b/src/services/upstreams/UpstreamClient.ts
@@ -132,6 +132,9 @@
   private httpStatus = 0;
   private headers: readonly requests.Header[] = [];
   private isShed = false;
+
+  /** Whether the answer has no length and ends with its connection. */
+  private isUnframed = false;
   private output: stream.PassThrough | undefined;
   private isSettled = false;
 
@@ -212,6 +215,9 @@
     }
     this.httpStatus = httpStatus;
     this.headers = toHeaders(headers);
+    this.isUnframed =
+      headers['content-length'] === undefined &&
+      headers['transfer-encoding'] === undefined;
     this.isShed = isShed;
   }
 
@@ -238,16 +244,17 @@
       this.fail('broken', new Error('reset within the answer'));
       return;
     }
-    if (this.output !== undefined) this.output.end();
-    else if (this.isShed) this.settle({kind: 'shed'});
-    else this.settleAnswered({kind: 'whole', bytes: this.body.toBytes()});
-    this.cleanUp();
+    this.finishAnswer();
   }
 
   onResponseError(
     controller: undici.Dispatcher.DispatchController | null,
     error: Error,
   ): void {
+    if (this.isUnframed && this.resetMonitor.isOrderlyEnd(error)) {
+      this.finishAnswer();
+      return;
+    }
     const isNotSent =
       this.controller === undefined || httpService.isNotSent(error);
     if (isNotSent) this.fail('notSent', error);
@@ -257,6 +264,13 @@
     else this.fail('broken', error);
   }
 
+  private finishAnswer(): void {
+    if (this.output !== undefined) this.output.end();
+    else if (this.isShed) this.settle({kind: 'shed'});
+    else this.settleAnswered({kind: 'whole', bytes: this.body.toBytes()});
+    this.cleanUp();
+  }
+
   private fail(kind: 'notSent' | 'broken' | 'garbled', error: Error): void {
     this.cleanUp();
     if (this.output === undefined) this.settle({kind});
--- a/test/platform/EntryFleet.ts
+++ b/test/platform/EntryFleet.ts
@@ -6,6 +6,7 @@
 import * as processes from '../../standins/processes/ManagedProcess.js';
 import * as stores from '../../standins/store/FakeStore.js';
 import * as upstreams from '../../standins/store/FakeUpstream.js';
+import * as rawUpstreams from '../../standins/store/RawUpstream.js';
 import * as callers from './RawCaller.js';
 
 const CALLERS_PORT = 8668;
@@ -34,6 +35,9 @@
   readonly object?: string;
   readonly requestId?: string;
   readonly waitMs?: number;
+
+  /** The body of a POST request; a short text by default. */
+  readonly body?: Buffer;
 }
 
 /** A route in the configuration that the test writes as the operator. */
@@ -72,6 +76,9 @@
 
   /** The setting `Admission`; left out when omitted. */
   readonly admission?: string;
+
+  /** The largest body of a request in the operators' configuration; 1 MB by default. */
+  readonly maxBodyBytes?: number;
 }
 
 /** Runs a test with a fleet whose store is running, and stops the fleet even when the test throws. */
@@ -100,6 +107,7 @@
   readonly store = new stores.FakeStore();
 
   private readonly upstreams: upstreams.FakeUpstream[] = [];
+  private readonly rawUpstreams: rawUpstreams.RawUpstream[] = [];
   private readonly vms: Vm[] = [];
   private readonly folder = fs.mkdtempSync(path.join(os.tmpdir(), 'entry-'));
   private readonly agent = new undici.Agent({pipelining: 1});
@@ -123,6 +131,7 @@
   async close(): Promise<void> {
     await Promise.all(this.vms.map(vm => vm.process.kill()));
     for (const upstream of this.upstreams) upstream.close();
+    for (const upstream of this.rawUpstreams) upstream.close();
     this.store.close();
     await this.agent.destroy();
     fs.rmSync(this.folder, {recursive: true, force: true});
@@ -171,7 +180,7 @@
       },
       Limits: {
         MaxHeaderBytes: 16384,
-        MaxBodyBytes: 1_000_000,
+        MaxBodyBytes: this.options.maxBodyBytes ?? 1_000_000,
         HeaderTimeout: '3000ms',
         IdleTimeout: '15000ms',
       },
@@ -213,6 +222,20 @@
     return upstream;
   }
 
+  /** Starts an upstream that answers with given bytes, and writes its entry to the store. */
+  async addRawUpstream(service: string): Promise<rawUpstreams.RawUpstream> {
+    const upstreamId = `raw-${this.rawUpstreams.length}`;
+    const upstream = new rawUpstreams.RawUpstream();
+    this.rawUpstreams.push(upstream);
+    const entry = new upstreams.FakeUpstream(upstreamId).getEntry(
+      service,
+      'amman-a',
+    );
+    const Address = await upstream.open();
+    this.store.put('servers', upstreamId, {...entry, Address});
+    return upstream;
+  }
+
   /** Starts an upstream without an entry in the store; returns it with its address. The caller closes it. */
   async startUnregisteredUpstream(upstreamId: string): Promise<{
     readonly upstream: upstreams.FakeUpstream;
@@ -352,7 +375,7 @@
         authorization: `Bearer ${call.key ?? 'k1'}`,
         'x-tenant': 'forged',
       },
-      body: call.method === 'POST' ? 'the body' : null,
+      body: call.method === 'POST' ? (call.body ?? 'the body') : null,
     });
     const text = await answer.body.text();
     return {httpStatus: answer.statusCode, headers: answer.headers, text};
--- a/test/services/dispatch/UpstreamConnections.test.ts
+++ b/test/services/dispatch/UpstreamConnections.test.ts
@@ -7,6 +7,7 @@
 import * as connections from '../../../src/services/dispatch/UpstreamConnections.js';
 import * as upstreams from '../../../standins/store/FakeUpstream.js';
 import * as cuts from '../../support/upstreams/withClosingUpstream.js';
+import * as early from '../../support/upstreams/earlyAnswers.js';
 import * as answers from '../../support/upstreams/statuses.js';
 import * as refusals from '../../support/upstreams/withRefusingUpstream.js';
 
@@ -70,6 +71,23 @@
   return kinds;
 }
 
+/** Sends a request with a large body to an upstream that answers before it has read the body. */
+async function sendUpload(address: string): Promise<connections.SendResult> {
+  const client = new connections.UpstreamConnections(
+    'i-0',
+    address,
+    new headers.HeaderCodec(),
+  );
+  const outbound = getOutboundRequest('q');
+  const result = await client.send({
+    ...outbound,
+    request: {...outbound.request, method: 'POST', body: early.LARGE_BODY},
+    needsNewConnection: true,
+  });
+  await client.destroy();
+  return result;
+}
+
 /** Sends one request to a new upstream in the given mode. */
 async function send(
   mode: upstreams.UpstreamMode,
@@ -233,6 +251,63 @@
       earl.expect(result.kind).toEqual('broken');
     });
 
+  for (const isReadingOn of [true, false]) {
+    const name = `the upload being ${isReadingOn ? 'read' : 'left unread'}`;
+
+    // Guards against treating a cut-off answer as complete because the request was still being sent when it was reset.
+    void test.it(
+      `treats an answer that is reset during the upload as broken, ${name}`,
+      async () => {
+        for (const size of early.SIZES)
+          for (let index = 0; index < early.RESET_TRY_COUNT; index++) {
+            const result = await early.withEarlyUpstream(
+              early.getUnframedAnswer(size),
+              'reset',
+              isReadingOn,
+              sendUpload,
+            );
+            earl.expect([size, result.kind]).toEqual([size, 'broken']);
+          }
+      },
+    );
+
+    // Guards against treating an end or a failure to send the rest of the request as the end of any answer.
+    for (const kind of ['end', 'close'] as const)
+      void test.it(
+        `treats an incomplete answer whose upstream sends ${kind} during the upload as broken, ${name}`,
+        async () => {
+          for (const answer of early.getIncompleteAnswers('x-request-id')) {
+            const result = await early.withEarlyUpstream(
+              answer,
+              kind,
+              isReadingOn,
+              sendUpload,
+            );
+            earl.expect(result.kind).toEqual('broken');
+          }
+        },
+      );
+
+    // Guards against losing an answer because the upstream does not take the rest of the request.
+    for (const [kind, receivedSizes] of early.RECEIVED_SIZES)
+      void test.it(
+        `accepts an answer whose upstream sends ${kind} during the upload, ${name}`,
+        async () => {
+          for (const size of receivedSizes) {
+            const result = await early.withEarlyUpstream(
+              early.getUnframedAnswer(size),
+              kind,
+              isReadingOn,
+              sendUpload,
+            );
+            earl
+              .expect(result.kind === 'answered' && result.answer.body.length)
+              .toEqual(size);
+          }
+        },
+      );
+  }
+
   void test.it(
     'ignores a rejection that names an earlier request',
     async () => {
--- a/test/services/upstreams/UpstreamClient.test.ts
+++ b/test/services/upstreams/UpstreamClient.test.ts
@@ -4,6 +4,7 @@
 import * as clients from '../../../src/services/upstreams/UpstreamClient.js';
 import * as upstreams from '../../../standins/store/FakeUpstream.js';
 import * as cuts from '../../support/upstreams/withClosingUpstream.js';
+import * as early from '../../support/upstreams/earlyAnswers.js';
 import * as answers from '../../support/upstreams/statuses.js';
 import * as refusals from '../../support/upstreams/withRefusingUpstream.js';
 
@@ -63,6 +64,31 @@
   }
 }
 
+/** Larger than an answer that is buffered as a whole. */
+const STREAMED_ANSWER_BYTES = 3_000_000;
+
+/**
+ * Sends a request with a large body to an upstream that answers before it has read the body. Returns the size of the
+ * answer, or that it was broken, before or after its first bytes were passed on.
+ */
+async function sendUpload(address: string): Promise<number | 'broken'> {
+  const client = new clients.UpstreamClient('i-0', address);
+  const outbound = getOutboundRequest('q');
+  const result = await client.send({
+    ...outbound,
+    request: {...outbound.request, method: 'POST', body: early.LARGE_BODY},
+  });
+  try {
+    if (result.kind === 'broken') return 'broken';
+    if (result.kind !== 'answered') throw new Error(result.kind);
+    const {body} = result.answer;
+    if (body.kind === 'whole') return body.bytes.length;
+    return (await countBytes(result)) ?? 'broken';
+  } finally {
+    await client.close();
+  }
+}
+
 /** Larger than an answer that is buffered as a whole, and smaller than the socket buffers. */
 const LARGE_ANSWER_BYTES = 330_000;
 
@@ -94,6 +120,63 @@
       earl.expect(await send(mode)).toEqual('broken');
     });
 
+  for (const isReadingOn of [true, false]) {
+    const name = `the upload being ${isReadingOn ? 'read' : 'left unread'}`;
+
+    // Guards against treating a cut-off answer as complete because the request was still being sent when it was reset.
+    void test.it(
+      `treats an answer that is reset during the upload as broken, ${name}`,
+      async () => {
+        for (const size of [...early.SIZES, STREAMED_ANSWER_BYTES])
+          for (let index = 0; index < early.RESET_TRY_COUNT; index++) {
+            const result = await early.withEarlyUpstream(
+              early.getUnframedAnswer(size),
+              'reset',
+              isReadingOn,
+              sendUpload,
+            );
+            earl.expect([size, result]).toEqual([size, 'broken']);
+          }
+      },
+    );
+
+    // Guards against treating an end or a failure to send the rest of the request as the end of any answer.
+    for (const kind of ['end', 'close'] as const)
+      void test.it(
+        `treats an incomplete answer whose upstream sends ${kind} during the upload as broken, ${name}`,
+        async () => {
+          for (const answer of early.getIncompleteAnswers(
+            'x-bramleyrun-request-id',
+          )) {
+            const result = await early.withEarlyUpstream(
+              answer,
+              kind,
+              isReadingOn,
+              sendUpload,
+            );
+            earl.expect(result).toEqual('broken');
+          }
+        },
+      );
+
+    // Guards against losing an answer because the upstream does not take the rest of the request.
+    for (const [kind, receivedSizes] of early.RECEIVED_SIZES)
+      void test.it(
+        `accepts an answer whose upstream sends ${kind} during the upload, ${name}`,
+        async () => {
+          for (const size of receivedSizes) {
+            const result = await early.withEarlyUpstream(
+              early.getUnframedAnswer(size),
+              kind,
+              isReadingOn,
+              sendUpload,
+            );
+            earl.expect(result).toEqual(size);
+          }
+        },
+      );
+  }
+
   // Guards against an answer in tiny chunks that takes the memory or the processor time of a VM.
   for (const mode of ['endlessSmallChunks', 'endlessInterim'] as const)
     void test.it(
--- a/test/support/upstreams/withClosingUpstream.ts
+++ b/test/support/upstreams/withClosingUpstream.ts
@@ -1,8 +1,4 @@
-import * as net from 'node:net';
-import * as sockets from '../../../standins/proxy/resetSocket.js';
-
-/** How an upstream closes a connection. */
-export type CloseKind = 'end' | 'reset';
+import * as upstreams from '../../../standins/store/RawUpstream.js';
 
 /**
  * Starts an upstream that writes `answer`, complete or cut short, to each connection that sends a request and then
@@ -12,35 +8,18 @@
  */
 export async function withClosingUpstream(
   answer: string,
-  kind: CloseKind,
+  kind: upstreams.CloseKind,
   run: (address: string) => Promise<void>,
   delayMs = 0,
 ): Promise<void> {
-  const close = (socket: net.Socket) => {
-    switch (kind) {
-      case 'end':
-        socket.end();
-        return;
-      case 'reset':
-        sockets.resetSocket(socket);
-    }
-  };
-  const server = net.createServer(socket => {
-    socket.on('error', () => socket.destroy());
-    socket.once('data', () => {
-      // Waits until the bytes are sent, because a reset discards those that are still in the buffer.
-      socket.write(answer, () => {
-        if (delayMs === 0) close(socket);
-        else setTimeout(close, delayMs, socket);
-      });
-    });
-  });
-  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
-  const {port} = server.address() as net.AddressInfo;
+  const upstream = new upstreams.RawUpstream();
+  upstream.answer = answer;
+  upstream.connectionUse = kind;
+  upstream.closeDelayMs = delayMs;
   try {
-    await run(`127.0.0.1:${port}`);
+    await run(await upstream.open());
   } finally {
-    server.close();
+    upstream.close();
   }
 }
 
