--- a/test/services/dispatch/UpstreamConnections.test.ts
+++ b/test/services/dispatch/UpstreamConnections.test.ts
@@ -6,8 +6,10 @@
 import * as httpService from '../../../src/services/http/index.js';
 import * as connections from '../../../src/services/dispatch/UpstreamConnections.js';
 import * as upstreams from '../../../standins/store/FakeUpstream.js';
+import * as rawUpstreams from '../../../standins/store/RawUpstream.js';
 import * as cuts from '../../support/upstreams/withClosingUpstream.js';
 import * as early from '../../support/upstreams/earlyAnswers.js';
+import * as malformed from '../../support/upstreams/malformedAnswers.js';
 import * as answers from '../../support/upstreams/statuses.js';
 import * as refusals from '../../support/upstreams/withRefusingUpstream.js';
 
@@ -399,4 +401,29 @@
           });
         },
       );
+
+  // Guards against callers who receive an answer whose head or trailer is invalid, or a body that it misdelimits.
+  void test.it('takes no malformed answer on a used connection', async () => {
+    for (const {title, text, isInTrailer} of malformed.getMalformedAnswers(
+      'answer',
+    )) {
+      const upstream = new rawUpstreams.RawUpstream();
+      upstream.connectionUse = 'keep';
+      upstream.answer = answers.getAnswerText('200', 'x-request-id');
+      const client = new connections.UpstreamConnections(
+        'i-0',
+        await upstream.open(),
+        new headers.HeaderCodec(),
+      );
+      const first = await client.send(getOutboundRequest('q'));
+      await timers.setImmediate();
+      upstream.answer = text;
+      const result = await client.send(getOutboundRequest('q'));
+      await client.destroy();
+      upstream.close();
+      earl
+        .expect([title, first.kind, result.kind, upstream.connectionCount])
+        .toEqual([title, 'answered', isInTrailer ? 'broken' : 'garbled', 1]);
+    }
+  });
 });
--- a/test/services/upstreams/UpstreamClient.test.ts
+++ b/test/services/upstreams/UpstreamClient.test.ts
@@ -3,8 +3,10 @@
 import * as earl from 'earl';
 import * as clients from '../../../src/services/upstreams/UpstreamClient.js';
 import * as upstreams from '../../../standins/store/FakeUpstream.js';
+import * as rawUpstreams from '../../../standins/store/RawUpstream.js';
 import * as cuts from '../../support/upstreams/withClosingUpstream.js';
 import * as early from '../../support/upstreams/earlyAnswers.js';
+import * as malformed from '../../support/upstreams/malformedAnswers.js';
 import * as answers from '../../support/upstreams/statuses.js';
 import * as refusals from '../../support/upstreams/withRefusingUpstream.js';
 
@@ -285,4 +287,49 @@
           });
         },
       );
+
+  // Guards against callers who receive an answer whose head or trailer is invalid, or a body that it misdelimits.
+  for (const bodyBytes of [6, LARGE_ANSWER_BYTES])
+    void test.it(
+      `takes no malformed answer of ${bodyBytes} bytes on a used connection`,
+      async () => {
+        const body = 'z'.repeat(bodyBytes);
+        for (const {title, text, isInTrailer} of malformed.getMalformedAnswers(
+          body,
+        )) {
+          const upstream = new rawUpstreams.RawUpstream();
+          upstream.connectionUse = 'keep';
+          upstream.answer = answers.getAnswerText(
+            '200',
+            'x-bramleyrun-request-id',
+          );
+          const client = new clients.UpstreamClient(
+            'i-0',
+            await upstream.open(),
+          );
+          const first = await client.send(getOutboundRequest('q'));
+          await timers.setImmediate();
+          upstream.answer = text;
+          const result = await client.send(getOutboundRequest('q'));
+          const isStreamBroken =
+            result.kind === 'answered' &&
+            (await countBytes(result)) === undefined;
+          await client.close();
+          upstream.close();
+          earl
+            .expect([
+              title,
+              first.kind,
+              isStreamBroken ? 'broken' : result.kind,
+              upstream.connectionCount,
+            ])
+            .toEqual([
+              title,
+              'answered',
+              isInTrailer ? 'broken' : 'garbled',
+              1,
+            ]);
+        }
+      },
+    );
 });
