Test that answers of store, platform, peers and daemon that are cut off bring nothing

These clients have no monitor for resets: undici completes an answer without a length when a reset cuts it off. By reading: what is decided by a status alone (a write to the store, an object that is stored, a history that is gone) rests on a whole head.

Nothing in the product is changed for it.

--- a/test/platform/StoreClient.test.ts
+++ b/test/platform/StoreClient.test.ts
@@ -3,6 +3,8 @@
 import * as earl from 'earl';
 import * as clients from '../../platform/StoreClient.js';
 import * as streams from '../../standins/store/writeUntilClosed.js';
+import * as cuts from '../support/upstreams/getCutOffAnswers.js';
+import * as closing from '../support/upstreams/withClosingUpstream.js';
 
 /** The upper bound on the bytes of an endless answer that the server can send before the client aborts it. */
 const MAX_ACCEPTED_BYTES = 32 * 1024 * 1024;
@@ -51,4 +53,21 @@
         for (const socket of sockets) socket.destroy();
       }
     });
+
+  // Guards against rows that are missing because an answer without a length was cut off.
+  void test.it('takes no rows from an answer that is cut off', async () => {
+    const row = {Key: 'config', Value: 'e30='};
+    const body = JSON.stringify({Rows: [row], SchemaVersion: 12});
+    for (const answer of cuts.getCutOffAnswers(body))
+      await closing.withClosingUpstream(answer, 'reset', async address => {
+        const client = new clients.StoreClient(address, new Map(), '127.0.0.1');
+        const kind = await client.readOperatorRows(TIMEOUT_MS).then(
+          ({result}) => result.kind,
+          () => 'rejected',
+        );
+        await client.close();
+        // The store service takes a rejected call for one that brought nothing.
+        earl.expect(['rejected', 'unavailable'].includes(kind)).toEqual(true);
+      });
+  });
 });
--- a/test/services/peers/PeersTask.test.ts
+++ b/test/services/peers/PeersTask.test.ts
@@ -9,6 +9,8 @@
 import * as services from '../../../src/services/index.js';
 import * as streams from '../../../standins/store/writeUntilClosed.js';
 import * as stubs from '../../support/services/StubTask.js';
+import * as cuts from '../../support/upstreams/getCutOffAnswers.js';
+import * as closing from '../../support/upstreams/withClosingUpstream.js';
 
 const SECRET = 'secret';
 const CALL_TIMEOUT_MS = 5000;
@@ -166,4 +168,29 @@
       server.close();
     }
   });
+
+  // Guards against half of a peer's answer because an answer without a length was cut off.
+  void test.it('does not use an answer that is cut off', async () => {
+    const daemon = await startDaemon();
+    const callCutOff = async (peersAddress: string) =>
+      await daemon
+        .getOrThrow(services.PEERS)
+        .ask<services.CallResult>(reply => ({
+          kind: 'call',
+          peersAddress,
+          request: {kind: 'getKnowledge'},
+          deadlineMs: performance.now() + CALL_TIMEOUT_MS,
+          reply,
+        }));
+    const result: peers.PeerAnswer = {kind: 'knowledge'};
+    try {
+      const body = JSON.stringify({jsonrpc: '2.0', id: 1, result});
+      for (const answer of cuts.getCutOffAnswers(body))
+        await closing.withClosingUpstream(answer, 'reset', async address => {
+          earl.expect((await callCutOff(address)).kind).toEqual('failed');
+        });
+    } finally {
+      await daemon.stop();
+    }
+  });
 });
