Share the upstream that closes connections among the tests of both clients

Tests only: withEarlyUpstream differed from withClosingUpstream in one option and goes; RawUpstream answers load reports by that name instead of by any prefix; two titles are clearer.

--- a/standins/store/RawUpstream.ts
+++ b/standins/store/RawUpstream.ts
@@ -1,6 +1,8 @@
 import * as net from 'node:net';
 import * as sockets from '../proxy/resetSocket.js';
 
+const LOAD_REQUEST = 'GET /load ';
+
 /** How an upstream closes a connection. */
 export type CloseKind =
   /** Ends the connection in order. */
@@ -26,11 +28,10 @@
   /** Whether the rest of a request is read once the answer has been sent. */
   isReadingOn = true;
 
-  /** The first bytes of the requests that get another answer, which is complete and keeps the connection. */
-  exemptStart = '';
-  exemptAnswer = '';
+  /** The load report that answers `GET /load` in full; if it is empty, that is a request like any other. */
+  loadReport = '';
 
-  /** The number of answers sent so far, without the exempt ones. */
+  /** The number of answers sent so far, without load reports. */
   answerCount = 0;
 
   /** The number of connections accepted so far. */
@@ -62,9 +63,11 @@
     socket.on('error', () => socket.destroy());
     socket.on('data', bytes => {
       if (isClosing) return;
-      const {exemptStart, connectionUse} = this;
-      if (exemptStart !== '' && bytes.toString().startsWith(exemptStart)) {
-        socket.write(this.exemptAnswer);
+      const {loadReport, connectionUse} = this;
+      if (loadReport !== '' && bytes.toString().startsWith(LOAD_REQUEST)) {
+        socket.write(
+          `HTTP/1.1 200 OK\r\ncontent-length: ${loadReport.length}\r\n\r\n${loadReport}`,
+        );
         return;
       }
       this.answerCount += 1;
--- a/test/deployment/BrokenAnswers.test.ts
+++ b/test/deployment/BrokenAnswers.test.ts
@@ -17,14 +17,11 @@
 
 const POLL_INTERVAL_MS = 20;
 
-const LOAD_REPORT = '{"busyCount":0,"status":"active"}';
-
 const deployment = new deployments.Deployment(
   plans.getPlan({vmCount: 1, upstreamCount: 1}),
 );
 const upstream = new rawUpstreams.RawUpstream();
-upstream.exemptStart = 'GET /load';
-upstream.exemptAnswer = `HTTP/1.1 200 OK\r\ncontent-length: ${LOAD_REPORT.length}\r\n\r\n${LOAD_REPORT}`;
+upstream.loadReport = '{"busyCount":0,"status":"active"}';
 
 /** Only each twelfth malformed answer is sent, as the daemon avoids the upstream for a while after each failure. */
 const MALFORMED_ANSWER_STEP = 12;
--- a/test/services/dispatch/UpstreamConnections.test.ts
+++ b/test/services/dispatch/UpstreamConnections.test.ts
@@ -262,11 +262,11 @@
       async () => {
         for (const size of early.SIZES)
           for (let index = 0; index < early.RESET_TRY_COUNT; index++) {
-            const result = await early.withEarlyUpstream(
+            const result = await cuts.withClosingUpstream(
               early.getUnframedAnswer(size),
               'reset',
-              isReadingOn,
               sendUpload,
+              {isReadingOn},
             );
             earl.expect([size, result.kind]).toEqual([size, 'broken']);
           }
@@ -276,14 +276,14 @@
     // Guards against treating an end or a failure to send the rest of the request as the end of any answer.
     for (const kind of ['end', 'close'] as const)
       void test.it(
-        `treats an incomplete answer whose upstream sends ${kind} during the upload as broken, ${name}`,
+        `treats an incomplete answer whose connection is closed by ${kind} during the upload as broken, ${name}`,
         async () => {
           for (const answer of early.getIncompleteAnswers('x-request-id')) {
-            const result = await early.withEarlyUpstream(
+            const result = await cuts.withClosingUpstream(
               answer,
               kind,
-              isReadingOn,
               sendUpload,
+              {isReadingOn},
             );
             earl.expect(result.kind).toEqual('broken');
           }
@@ -293,14 +293,14 @@
     // Guards against losing an answer because the upstream does not take the rest of the request.
     for (const [kind, receivedSizes] of early.RECEIVED_SIZES)
       void test.it(
-        `accepts an answer whose upstream sends ${kind} during the upload, ${name}`,
+        `accepts an answer whose connection is closed by ${kind} during the upload, ${name}`,
         async () => {
           for (const size of receivedSizes) {
-            const result = await early.withEarlyUpstream(
+            const result = await cuts.withClosingUpstream(
               early.getUnframedAnswer(size),
               kind,
-              isReadingOn,
               sendUpload,
+              {isReadingOn},
             );
             earl
               .expect(result.kind === 'answered' && result.answer.body.length)
--- a/test/services/upstreams/UpstreamClient.test.ts
+++ b/test/services/upstreams/UpstreamClient.test.ts
@@ -131,11 +131,11 @@
       async () => {
         for (const size of [...early.SIZES, STREAMED_ANSWER_BYTES])
           for (let index = 0; index < early.RESET_TRY_COUNT; index++) {
-            const result = await early.withEarlyUpstream(
+            const result = await cuts.withClosingUpstream(
               early.getUnframedAnswer(size),
               'reset',
-              isReadingOn,
               sendUpload,
+              {isReadingOn},
             );
             earl.expect([size, result]).toEqual([size, 'broken']);
           }
@@ -145,16 +145,16 @@
     // Guards against treating an end or a failure to send the rest of the request as the end of any answer.
     for (const kind of ['end', 'close'] as const)
       void test.it(
-        `treats an incomplete answer whose upstream sends ${kind} during the upload as broken, ${name}`,
+        `treats an incomplete answer whose connection is closed by ${kind} during the upload as broken, ${name}`,
         async () => {
           for (const answer of early.getIncompleteAnswers(
             'x-bramleyrun-request-id',
           )) {
-            const result = await early.withEarlyUpstream(
+            const result = await cuts.withClosingUpstream(
               answer,
               kind,
-              isReadingOn,
               sendUpload,
+              {isReadingOn},
             );
             earl.expect(result).toEqual('broken');
           }
@@ -164,14 +164,14 @@
     // Guards against losing an answer because the upstream does not take the rest of the request.
     for (const [kind, receivedSizes] of early.RECEIVED_SIZES)
       void test.it(
-        `accepts an answer whose upstream sends ${kind} during the upload, ${name}`,
+        `accepts an answer whose connection is closed by ${kind} during the upload, ${name}`,
         async () => {
           for (const size of receivedSizes) {
-            const result = await early.withEarlyUpstream(
+            const result = await cuts.withClosingUpstream(
               early.getUnframedAnswer(size),
               kind,
-              isReadingOn,
               sendUpload,
+              {isReadingOn},
             );
             earl.expect(result).toEqual(size);
           }
@@ -206,7 +206,7 @@
             earl.expect(await countBytes(result)).toEqual(expectedBytes);
             await client.close();
           },
-          END_DELAY_MS,
+          {delayMs: END_DELAY_MS},
         );
       },
     );
--- a/test/support/upstreams/earlyAnswers.ts
+++ b/test/support/upstreams/earlyAnswers.ts
@@ -1,4 +1,4 @@
-import * as upstreams from '../../../standins/store/RawUpstream.js';
+import type * as upstreams from '../../../standins/store/RawUpstream.js';
 import * as closing from './withClosingUpstream.js';
 
 /** Larger than what the kernel buffers of a connection, so that most of it is unsent when an early answer arrives. */
@@ -41,24 +41,3 @@
       .map(answer => answer.slice(0, -1)),
   ];
 }
-
-/**
- * Starts an upstream that answers as soon as the first bytes of a request have arrived, and then closes the connection.
- * Calls `run` with its address and stops it afterwards.
- */
-export async function withEarlyUpstream<T>(
-  answer: string,
-  kind: upstreams.CloseKind,
-  isReadingOn: boolean,
-  run: (address: string) => Promise<T>,
-): Promise<T> {
-  const upstream = new upstreams.RawUpstream();
-  upstream.answer = answer;
-  upstream.connectionUse = kind;
-  upstream.isReadingOn = isReadingOn;
-  try {
-    return await run(await upstream.open());
-  } finally {
-    upstream.close();
-  }
-}
--- a/test/support/upstreams/withClosingUpstream.ts
+++ b/test/support/upstreams/withClosingUpstream.ts
@@ -1,23 +1,31 @@
 import * as upstreams from '../../../standins/store/RawUpstream.js';
 
+/** How an upstream that closes its connections goes about it. */
+export interface ClosingOptions {
+  /** How long the connection stays open behind the answer, in milliseconds; 0 by default. */
+  readonly delayMs?: number;
+
+  /** Whether the rest of the request is read once the answer has been sent; true by default. */
+  readonly isReadingOn?: boolean;
+}
+
 /**
- * Starts an upstream that writes `answer`, complete or cut short, to each connection that sends a request and then
- * closes the connection. Calls `run` with its address and stops it afterwards.
- *
- * @param delayMs How long the connection stays open behind the answer, in milliseconds.
+ * Starts an upstream that writes `answer`, complete or cut short, to each connection as soon as the first bytes of a
+ * request have arrived, and then closes the connection. Calls `run` with its address and stops it afterwards.
  */
-export async function withClosingUpstream(
+export async function withClosingUpstream<T>(
   answer: string,
   kind: upstreams.CloseKind,
-  run: (address: string) => Promise<void>,
-  delayMs = 0,
-): Promise<void> {
+  run: (address: string) => Promise<T>,
+  {delayMs = 0, isReadingOn = true}: ClosingOptions = {},
+): Promise<T> {
   const upstream = new upstreams.RawUpstream();
   upstream.answer = answer;
   upstream.connectionUse = kind;
   upstream.closeDelayMs = delayMs;
+  upstream.isReadingOn = isReadingOn;
   try {
-    await run(await upstream.open());
+    return await run(await upstream.open());
   } finally {
     upstream.close();
   }
